--- /dev/null
+++ b/crates/agatepin/src/loader/daemon.rs
@@ -0,0 +1,164 @@
+//! The agent on the direct path: its sockets and tasks.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use agatepin_core::relay::sources::PieceAgent;
+use eyre::{Result, WrapErr};
+use prost::Message;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::time::sleep;
+
+use crate::loader::beat::{BeatTeller, EngineBeat};
+use crate::loader::pieces::{self, PieceFetcher};
+use crate::loader::swap::{SwapFlag, WeightSwapper};
+use crate::loader::vault::PieceVault;
+use crate::loader::view::{self, SharedView};
+use crate::relay::overlay::{self, Datagram, DatagramBody};
+use crate::relay::ports::{EnginePort, TableStore, WireDialect};
+
+/// Largest datagram, in bytes.
+const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
+/// Pause after a failure of a socket or the store.
+const FAILURE_PAUSE: Duration = Duration::from_millis(400);
+/// Silence of all entries after which the store is read again.
+const ENTRY_SILENCE: Duration = Duration::from_secs(3);
+
+agatepin_core::value_type! {
+    /// What an agent is started with.
+    pub struct AgentOptions {
+        /// Name.
+        pub name: String,
+        /// Region.
+        pub region: String,
+        /// Service of the engine.
+        pub service: String,
+        /// Address of the engine.
+        pub engine: SocketAddr,
+        /// Address for other daemons.
+        pub overlay: SocketAddr,
+    }
+}
+
+/// Binds the sockets and starts the tasks of an agent.
+///
+/// # Errors
+/// An address cannot be bound.
+pub async fn start<Store, Dialect, Engine>(
+    options: AgentOptions,
+    store: Store,
+    dialect: Dialect,
+    engine: Engine,
+) -> Result<()>
+where
+    Store: TableStore,
+    Dialect: WireDialect,
+    Engine: EnginePort,
+{
+    let view = SharedView::default();
+    let vault = PieceVault::default();
+    let beat = EngineBeat::default();
+    let swapping = SwapFlag::default();
+    let bind = || format!("cannot bind {}", options.overlay);
+    let listener = TcpListener::bind(options.overlay).await.wrap_err_with(bind)?;
+    let socket = UdpSocket::bind(options.overlay).await.wrap_err_with(bind)?;
+    let socket = Rc::new(socket);
+    actix_rt::spawn(serve_pieces(listener, vault.clone()));
+    actix_rt::spawn(hear(socket.clone(), view.clone()));
+    let port = options.overlay.port();
+    actix_rt::spawn(watch_store(view.clone(), store, dialect, port));
+    let teller = BeatTeller {
+        engine: engine.clone(),
+        beat: beat.clone(),
+        address: options.engine,
+        region: options.region.clone(),
+        vault: vault.clone(),
+        view: view.clone(),
+        swapping: swapping.clone(),
+        socket,
+    };
+    actix_rt::spawn(teller.run());
+    let fetcher = PieceFetcher {
+        engine,
+        vault,
+        view,
+        own: PieceAgent {
+            overlay: options.overlay,
+            region: options.region,
+            holds: None,
+        },
+    };
+    let swapper = WeightSwapper {
+        fetcher,
+        beat,
+        service: options.service,
+        swapping,
+    };
+    actix_rt::spawn(swapper.run());
+    log::info!(agent = options.name, engine:% = options.engine; "agent started");
+    Ok(())
+}
+
+async fn serve_pieces(listener: TcpListener, vault: PieceVault) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(err) => {
+                log::warn!(err:%; "pull not taken");
+                sleep(FAILURE_PAUSE).await;
+                continue;
+            }
+        };
+        let vault = vault.clone();
+        actix_rt::spawn(async move {
+            let answer = overlay::answer_pull(stream, |wish| pieces::answer(vault, wish));
+            if let Err(err) = answer.await {
+                log::debug!("pull of a piece ended: {err}");
+            }
+        });
+    }
+}
+
+async fn hear(socket: Rc<UdpSocket>, view: SharedView) {
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    loop {
+        let (length, from) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(err) => {
+                log::warn!(err:%; "datagram not received");
+                sleep(FAILURE_PAUSE).await;
+                continue;
+            }
+        };
+        match Datagram::decode(&buffer[..length]) {
+            Ok(Datagram {
+                body: Some(DatagramBody::Hello(hello)),
+            }) => view.borrow_mut().hear(from, hello, Instant::now()),
+            Ok(_) => {}
+            Err(err) => log::debug!("datagram from {from} left out: {err}"),
+        }
+    }
+}
+
+/// Reads the store at the start, and again while no entry is heard.
+async fn watch_store<Store, Dialect>(view: SharedView, store: Store, dialect: Dialect, port: u16)
+where
+    Store: TableStore,
+    Dialect: WireDialect,
+{
+    let mut known = false;
+    let mut read_at = Instant::now();
+    loop {
+        let heard = view.borrow().heard();
+        let silent = heard.unwrap_or(read_at).max(read_at).elapsed() > ENTRY_SILENCE;
+        if !known || silent {
+            read_at = Instant::now();
+            match view::read_store(&view, &store, &dialect, port).await {
+                Ok(()) => known = view.borrow().is_known(),
+                Err(err) => log::warn!(err:?; "store not read"),
+            }
+        }
+        sleep(FAILURE_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/crates/agatepin/src/loader/mod.rs
@@ -0,0 +1,9 @@
+//! The agent on the direct path: brings complete weights to the engine beside it and tells the
+//! entries its load.
+
+pub mod beat;
+pub mod daemon;
+pub mod pieces;
+pub mod swap;
+pub mod vault;
+pub mod view;
--- /dev/null
+++ b/crates/agatepin/src/loader/pieces.rs
@@ -0,0 +1,236 @@
+//! Brings the pieces of one version to an agent: from its engine's stage, from other agents, and
+//! from the origin for those that this agent is to fetch.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use agatepin_core::relay::sources::{PieceAgent, PieceSource, sources};
+use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+
+use crate::loader::vault::PieceVault;
+use crate::loader::view::{LoadPlan, SharedView};
+use crate::relay::overlay::{self, DigestsWish, PieceWish, PullAnswer, PullWish};
+use crate::relay::ports::{EnginePort, PieceDigests};
+
+/// Pieces that are fetched at a time: they share the link of the agent's machine.
+const PARALLEL_PIECES: usize = 6;
+/// Time for which an agent that is asked waits until it has a piece itself.
+const HOLD: Duration = Duration::from_millis(1_800);
+/// Time for a pull of a piece, with the wait at its source.
+const PULL_TIMEOUT: Duration = Duration::from_millis(2_600);
+/// Wait for digests at another agent before the origin is asked.
+const DIGESTS_TIMEOUT: Duration = Duration::from_millis(700);
+/// Number that stands for the digests where sources are ranked.
+const DIGESTS_PIECE: u32 = u32::MAX;
+const DIGEST_BYTES: usize = 32;
+
+/// Fetches pieces for one agent.
+#[derive(Clone)]
+pub struct PieceFetcher<Engine> {
+    /// The engine's stage and the origin.
+    pub engine: Engine,
+    /// Where pieces are kept.
+    pub vault: PieceVault,
+    /// The fleet.
+    pub view: SharedView,
+    /// This agent.
+    pub own: PieceAgent,
+}
+
+impl<Engine> PieceFetcher<Engine>
+where
+    Engine: EnginePort,
+{
+    /// Brings in what is missing of a version. Returns whether all is here.
+    pub async fn fetch(&self, plan: &LoadPlan) -> bool {
+        if !self.fetch_digests(plan).await {
+            return false;
+        }
+        let started = Instant::now();
+        let missing = self.missing(plan);
+        let total = missing.len();
+        let mut waiting: VecDeque<u32> = missing.into();
+        let mut running = FuturesUnordered::new();
+        let mut from_origin = 0;
+        loop {
+            while running.len() < PARALLEL_PIECES
+                && let Some(piece) = waiting.pop_front()
+            {
+                running.push(self.fetch_piece(plan, piece));
+            }
+            let Some((piece, found)) = running.next().await else {
+                break;
+            };
+            let Some((data, source)) = found else {
+                log::warn!(version = plan.version, piece; "no source has this piece");
+                continue;
+            };
+            from_origin += usize::from(source == PieceSource::Origin);
+            self.vault.with(plan.version, |set| set.pieces.insert(piece, data));
+        }
+        let complete = self.vault.is_complete(plan.version);
+        let ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let version = plan.version;
+        log::info!(version, total, from_origin, complete, ms; "pieces fetched");
+        complete
+    }
+
+    fn missing(&self, plan: &LoadPlan) -> Vec<u32> {
+        let mut missing: Vec<u32> = self.vault.with(plan.version, |set| {
+            let all = 0..plan.engine.pieces;
+            all.filter(|piece| !set.pieces.contains_key(piece)).collect()
+        });
+        // Pieces that others wait for come first.
+        let agents = self.view.borrow_mut().agents(Instant::now());
+        missing.sort_by_key(|piece| {
+            let found = sources(&agents, &self.own, plan.version, *piece);
+            found.len()
+        });
+        missing
+    }
+
+    /// Takes what the engine's stage holds of the version, so that it need not be fetched.
+    pub async fn take_staged(&self, plan: &LoadPlan) {
+        if !self.fetch_digests(plan).await {
+            return;
+        }
+        for piece in 0..plan.engine.pieces {
+            let staged = match self.engine.staged(&plan.model, piece).await {
+                Ok(Some(staged)) => staged,
+                Ok(None) => return,
+                Err(err) => return log::warn!(piece, err:?; "stage cannot be read"),
+            };
+            self.vault.with(plan.version, |set| {
+                if set.matches(piece, &staged) {
+                    set.pieces.insert(piece, staged);
+                }
+            });
+        }
+    }
+
+    async fn fetch_digests(&self, plan: &LoadPlan) -> bool {
+        if self.vault.with(plan.version, |set| set.digests.is_some()) {
+            return true;
+        }
+        let agents = self.view.borrow_mut().agents(Instant::now());
+        for source in sources(&agents, &self.own, plan.version, DIGESTS_PIECE) {
+            let found = match &source {
+                PieceSource::Agent(peer) => self.pull_digests(*peer, plan).await,
+                PieceSource::Origin => self.origin_digests(plan).await,
+            };
+            let Some(digests) = found else {
+                continue;
+            };
+            if digests.digests.len() != plan.engine.pieces as usize {
+                log::warn!(source:?, pieces = digests.digests.len(); "digests do not fit the model");
+                continue;
+            }
+            self.vault.with(plan.version, |set| set.digests = Some(digests));
+            return true;
+        }
+        false
+    }
+
+    async fn pull_digests(&self, peer: SocketAddr, plan: &LoadPlan) -> Option<PieceDigests> {
+        let wish = PullWish::Digests(DigestsWish {
+            model: plan.model.clone(),
+            version: plan.version,
+        });
+        let answer = match overlay::pull(peer, wish, DIGESTS_TIMEOUT).await {
+            Ok(answer) if answer.found => answer,
+            Ok(_) => return None,
+            Err(err) => {
+                log::info!(peer:%, err:%; "digests not pulled");
+                return None;
+            }
+        };
+        let chunks = answer.data.chunks_exact(DIGEST_BYTES);
+        let digests = chunks.filter_map(|chunk| chunk.try_into().ok()).collect();
+        Some(PieceDigests { digests })
+    }
+
+    async fn origin_digests(&self, plan: &LoadPlan) -> Option<PieceDigests> {
+        let origin = plan.origin?;
+        match self.engine.digests(origin, &plan.model, plan.version).await {
+            Ok(digests) => Some(digests),
+            Err(err) => {
+                log::warn!(version = plan.version, err:?; "no digests from the origin");
+                None
+            }
+        }
+    }
+
+    async fn fetch_piece(&self, plan: &LoadPlan, piece: u32) -> (u32, Option<(Bytes, PieceSource)>) {
+        let agents = self.view.borrow_mut().agents(Instant::now());
+        for source in sources(&agents, &self.own, plan.version, piece) {
+            let found = match &source {
+                PieceSource::Agent(peer) => self.pull_piece(*peer, plan, piece).await,
+                PieceSource::Origin => self.origin_piece(plan, piece).await,
+            };
+            let Some(data) = found else {
+                continue;
+            };
+            if self.vault.with(plan.version, |set| set.matches(piece, &data)) {
+                return (piece, Some((data, source)));
+            }
+            log::warn!(piece, version = plan.version, source:?; "piece does not match its digest");
+            if source == PieceSource::Origin {
+                // One of the two is wrong; both are read again on the next try.
+                self.vault.with(plan.version, |set| {
+                    if set.pieces.is_empty() {
+                        set.digests = None;
+                    }
+                });
+            }
+        }
+        (piece, None)
+    }
+
+    async fn pull_piece(&self, peer: SocketAddr, plan: &LoadPlan, piece: u32) -> Option<Bytes> {
+        let wish = PullWish::Piece(PieceWish {
+            model: plan.model.clone(),
+            version: plan.version,
+            piece,
+        });
+        match overlay::pull(peer, wish, PULL_TIMEOUT).await {
+            Ok(answer) => answer.found.then_some(answer.data),
+            Err(err) => {
+                log::info!(peer:%, piece, err:%; "piece not pulled");
+                None
+            }
+        }
+    }
+
+    async fn origin_piece(&self, plan: &LoadPlan, piece: u32) -> Option<Bytes> {
+        let origin = plan.origin?;
+        let (model, version) = (&plan.model, plan.version);
+        match self.engine.piece(origin, model, version, piece).await {
+            Ok(data) => Some(data),
+            Err(err) => {
+                log::warn!(piece, version, err:?; "no piece from the origin");
+                None
+            }
+        }
+    }
+}
+
+/// Answers another agent's pull.
+pub async fn answer(vault: PieceVault, wish: PullWish) -> PullAnswer {
+    let data = match wish {
+        PullWish::Piece(wish) => vault.piece(wish.version, wish.piece, HOLD).await,
+        PullWish::Digests(wish) => {
+            let digests = vault.digests(wish.version, DIGESTS_TIMEOUT / 2).await;
+            digests.map(|digests| Bytes::from(digests.digests.concat()))
+        }
+        PullWish::Rows(_) => None,
+    };
+    let found = data.is_some();
+    PullAnswer {
+        found,
+        data: data.unwrap_or_default(),
+        ..PullAnswer::default()
+    }
+}
--- /dev/null
+++ b/crates/agatepin/src/loader/swap.rs
@@ -0,0 +1,148 @@
+//! Brings an engine to the version that operators named.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use agatepin_core::ids::ServiceId;
+use agatepin_core::relay::catalog::WeightsNumber;
+use agatepin_core::relay::rollout;
+use eyre::{Result, eyre};
+use tokio::time::sleep;
+
+use crate::loader::beat::EngineBeat;
+use crate::loader::pieces::PieceFetcher;
+use crate::loader::view::LoadPlan;
+use crate::relay::ports::EnginePort;
+
+/// Pause between two looks at what the engine holds.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+/// Pause after a step that failed.
+const FAILURE_PAUSE: Duration = Duration::from_millis(300);
+/// Time in which a load must be done after the engine has taken the order and is free.
+const LOAD_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Tells the entries that the engine is about to change its weights.
+pub type SwapFlag = Rc<Cell<bool>>;
+
+/// Swaps the weights of one engine.
+pub struct WeightSwapper<Engine> {
+    /// Fetches pieces.
+    pub fetcher: PieceFetcher<Engine>,
+    /// State of the engine.
+    pub beat: EngineBeat,
+    /// Service of the engine.
+    pub service: ServiceId,
+    /// Set while an order is given.
+    pub swapping: SwapFlag,
+}
+
+impl<Engine> WeightSwapper<Engine>
+where
+    Engine: EnginePort,
+{
+    /// Keeps the engine at the named version for good.
+    pub async fn run(self) {
+        let mut staged_read = false;
+        loop {
+            sleep(LOOK_INTERVAL).await;
+            let Some(plan) = self.fetcher.view.borrow().plan(&self.service) else {
+                continue;
+            };
+            if !staged_read {
+                self.fetcher.take_staged(&plan).await;
+                staged_read = true;
+            }
+            if self.holds(plan.version) {
+                continue;
+            }
+            if let Err(err) = self.bring(&plan).await {
+                log::warn!(version = plan.version, err:%; "weights not loaded yet");
+                sleep(FAILURE_PAUSE).await;
+            }
+            self.swapping.set(false);
+        }
+    }
+
+    fn holds(&self, version: WeightsNumber) -> bool {
+        let Some(state) = self.beat.state() else {
+            return false;
+        };
+        state.report.weights.is_some_and(|held| held >= version)
+    }
+
+    async fn bring(&self, plan: &LoadPlan) -> Result<()> {
+        let fetched = self.fetcher.fetch(plan).await;
+        self.fetcher.vault.trim();
+        if !fetched {
+            return Err(eyre!("pieces are missing"));
+        }
+        let state = self.beat.state().ok_or_else(|| eyre!("the engine does not answer"))?;
+        if state.report.busy {
+            return Err(eyre!("the engine is busy with an order"));
+        }
+        self.stage(plan).await?;
+        if state.report.weights.is_some() {
+            sleep(self.wave_delay()).await;
+        }
+        if self.is_outdated(plan) {
+            return Err(eyre!("a newer version was named"));
+        }
+        self.swapping.set(true);
+        self.stage(plan).await?;
+        let state = self.beat.state().ok_or_else(|| eyre!("the engine does not answer"))?;
+        let (model, version) = (&plan.model, plan.version);
+        let ordered = self.fetcher.engine.load(model, version, state.orders).await;
+        log::info!(model, version, orders = state.orders, ordered:?; "load ordered");
+        ordered.map_err(|err| eyre!("the order was not taken: {err:?}"))?;
+        self.await_load(version).await
+    }
+
+    fn is_outdated(&self, plan: &LoadPlan) -> bool {
+        let view = self.fetcher.view.borrow();
+        view.plan(&self.service).is_some_and(|now| now.version > plan.version)
+    }
+
+    fn wave_delay(&self) -> Duration {
+        let mut view = self.fetcher.view.borrow_mut();
+        let agents = view.agents(Instant::now());
+        let region = &self.fetcher.own.region;
+        let near = agents.iter().filter(|agent| agent.region == *region);
+        let names: Vec<String> = near.map(|agent| agent.overlay.to_string()).collect();
+        rollout::wave_delay(&self.fetcher.own.overlay.to_string(), &names)
+    }
+
+    /// Stages the pieces that are not staged as they should be: they may spoil there.
+    async fn stage(&self, plan: &LoadPlan) -> Result<()> {
+        let fetcher = &self.fetcher;
+        for piece in 0..plan.engine.pieces {
+            let staged = fetcher.engine.staged(&plan.model, piece).await;
+            let staged = staged.map_err(|err| eyre!("stage cannot be read: {err:?}"))?;
+            let wanted = fetcher.vault.with(plan.version, |set| set.pieces.get(&piece).cloned());
+            let wanted = wanted.ok_or_else(|| eyre!("piece {piece} is missing"))?;
+            if staged.is_some_and(|staged| staged == wanted) {
+                continue;
+            }
+            let put = fetcher.engine.stage(&plan.model, piece, wanted).await;
+            put.map_err(|err| eyre!("piece {piece} not staged: {err:?}"))?;
+        }
+        Ok(())
+    }
+
+    async fn await_load(&self, version: WeightsNumber) -> Result<()> {
+        let started = Instant::now();
+        while started.elapsed() < LOAD_TIMEOUT {
+            sleep(LOOK_INTERVAL).await;
+            if self.holds(version) {
+                let ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
+                log::info!(version, ms; "weights loaded");
+                return Ok(());
+            }
+            let idle = self.beat.state().is_some_and(|state| !state.report.busy);
+            if idle && started.elapsed() > FAILURE_PAUSE {
+                return Err(eyre!("the engine did not load the weights"));
+            }
+        }
+        Err(eyre!("the engine did not load the weights in time"))
+    }
+}
--- /dev/null
+++ b/crates/agatepin/src/loader/view.rs
@@ -0,0 +1,175 @@
+//! What an agent knows of the fleet: from the store at its start and after long silence, from the
+//! entries' signs of life otherwise.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use agatepin_core::ids::{ModelId, RegionId, ServiceId};
+use agatepin_core::relay::catalog::{CatalogSource, EngineSpec, RouteCatalog, WeightsNumber};
+use agatepin_core::relay::sources::PieceAgent;
+
+use crate::relay::overlay::{EntryHello, EntryRow};
+use crate::relay::ports::{FleetFact, MirrorTable, StoreError, TableStore, WireDialect};
+
+/// Silence after which an entry or agent is forgotten.
+const PEER_SILENCE: Duration = Duration::from_secs(5);
+
+agatepin_core::value_type! {
+    /// What the agent's engine is to hold, and where it comes from.
+    pub struct LoadPlan {
+        /// Model.
+        pub model: ModelId,
+        /// Version.
+        pub version: WeightsNumber,
+        /// What the engine is.
+        pub engine: EngineSpec,
+        /// Origin of weights.
+        pub origin: Option<SocketAddr>,
+    }
+}
+
+/// What an agent knows of the fleet.
+#[derive(Debug, Default)]
+pub struct FleetView {
+    catalog: Option<RouteCatalog>,
+    versions: BTreeMap<ModelId, WeightsNumber>,
+    entries: BTreeMap<SocketAddr, Instant>,
+    agents: BTreeMap<SocketAddr, (PieceAgent, Instant)>,
+    heard: Option<Instant>,
+}
+
+/// Shared view of one agent.
+pub type SharedView = Rc<RefCell<FleetView>>;
+
+impl FleetView {
+    /// When an entry was last heard.
+    #[must_use]
+    pub fn heard(&self) -> Option<Instant> {
+        self.heard
+    }
+
+    /// Whether a catalog is known.
+    #[must_use]
+    pub fn is_known(&self) -> bool {
+        self.catalog.is_some()
+    }
+
+    /// Takes an entry's sign of life from `from`.
+    pub fn hear(&mut self, from: SocketAddr, hello: EntryHello, now: Instant) {
+        self.heard = Some(now);
+        self.entries.insert(from, now);
+        for named in hello.weights {
+            self.name_weights(&named.model, named.version);
+        }
+        for known in hello.agents {
+            let Ok(overlay) = known.overlay.parse() else {
+                continue;
+            };
+            let holds = Some(known.holds).filter(|version| *version > 0);
+            let agent = PieceAgent {
+                overlay,
+                region: known.region,
+                holds,
+            };
+            self.agents.insert(overlay, (agent, now));
+        }
+    }
+
+    fn name_weights(&mut self, model: &str, version: WeightsNumber) {
+        let known = self.versions.entry(model.to_owned()).or_default();
+        if *known < version {
+            log::info!(model, old = *known, version; "weights named");
+            *known = version;
+        }
+    }
+
+    /// Entries that are told the load.
+    pub fn entries(&mut self, now: Instant) -> Vec<SocketAddr> {
+        let fresh = |at: &Instant| now.saturating_duration_since(*at) < PEER_SILENCE;
+        self.entries.retain(|_, at| fresh(at));
+        self.entries.keys().copied().collect()
+    }
+
+    /// Agents that may have pieces.
+    pub fn agents(&mut self, now: Instant) -> Vec<PieceAgent> {
+        let fresh = |at: &Instant| now.saturating_duration_since(*at) < PEER_SILENCE;
+        self.agents.retain(|_, (_, at)| fresh(at));
+        self.agents.values().map(|(agent, _)| agent.clone()).collect()
+    }
+
+    /// What the engine of `service` is to hold.
+    #[must_use]
+    pub fn plan(&self, service: &ServiceId) -> Option<LoadPlan> {
+        let catalog = self.catalog.as_ref()?;
+        let engine = catalog.service(service)?.engine.clone()?;
+        let named = self.versions.get(&engine.model).copied();
+        Some(LoadPlan {
+            model: engine.model.clone(),
+            version: named.unwrap_or(1),
+            engine,
+            origin: catalog.origin(),
+        })
+    }
+
+    fn learn_catalog(&mut self, source: CatalogSource) {
+        let known = self.catalog.as_ref().map(RouteCatalog::version);
+        if known.is_none_or(|known| known < source.version) {
+            self.catalog = Some(RouteCatalog::from(source));
+        }
+    }
+}
+
+/// Reads all that an agent needs from the store.
+///
+/// # Errors
+/// The store does not answer as it should.
+pub async fn read_store<Store, Dialect>(
+    view: &SharedView,
+    store: &Store,
+    dialect: &Dialect,
+    overlay_port: u16,
+) -> Result<(), StoreError>
+where
+    Store: TableStore,
+    Dialect: WireDialect,
+{
+    for table in [MirrorTable::Operator, MirrorTable::Upstreams, MirrorTable::Entries] {
+        let read = store.list(table).await?;
+        let now = Instant::now();
+        for row in read.rows {
+            if table == MirrorTable::Entries {
+                let listing = row.value.as_ref().map(|value| EntryRow::parse(value));
+                if let Some(Ok(listing)) = listing {
+                    view.borrow_mut().entries.insert(listing.overlay, now);
+                }
+                continue;
+            }
+            match dialect.read_row(table, &row) {
+                Ok(fact) => learn(&mut view.borrow_mut(), fact, overlay_port, now),
+                Err(err) => log::warn!(table:?, key = row.key, reason = err.0; "row left out"),
+            }
+        }
+    }
+    Ok(())
+}
+
+fn learn(view: &mut FleetView, fact: FleetFact, overlay_port: u16, now: Instant) {
+    match fact {
+        FleetFact::Catalog(source) => view.learn_catalog(*source),
+        FleetFact::Weights { model, version } => view.name_weights(&model, version),
+        FleetFact::Upstream(_, listing) if listing.weights.is_some() => {
+            let overlay = SocketAddr::new(listing.address.ip(), overlay_port);
+            let region: RegionId = listing.region;
+            let agent = PieceAgent {
+                overlay,
+                region,
+                holds: listing.weights,
+            };
+            view.agents.insert(overlay, (agent, now));
+        }
+        _ => {}
+    }
+}
--- /dev/null
+++ b/crates/agatepin/src/relay/body.rs
@@ -0,0 +1,69 @@
+//! The body of an answer to a caller.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use tokio::sync::mpsc;
+
+/// Parts of a body that wait for a slow caller.
+pub const BODY_QUEUE: usize = 16;
+
+/// The answer broke off; the connection is closed so that it does not look complete.
+#[derive(Debug)]
+pub struct BrokenBody;
+
+impl std::fmt::Display for BrokenBody {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the upstream broke off its answer")
+    }
+}
+
+impl std::error::Error for BrokenBody {}
+
+/// A body whose bytes are known, or come as a stream.
+#[derive(Debug)]
+pub enum ReplyBody {
+    /// All bytes; none once they are sent.
+    Whole(Option<Bytes>),
+    /// Parts that come from a relaying task.
+    Parts(mpsc::Receiver<Result<Bytes, BrokenBody>>),
+}
+
+impl From<Bytes> for ReplyBody {
+    fn from(bytes: Bytes) -> Self {
+        Self::Whole(Some(bytes).filter(|bytes| !bytes.is_empty()))
+    }
+}
+
+impl Body for ReplyBody {
+    type Data = Bytes;
+    type Error = BrokenBody;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenBody>>> {
+        match self.get_mut() {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Parts(parts) => {
+                let part = std::task::ready!(parts.poll_recv(cx));
+                Poll::Ready(part.map(|part| part.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            }
+            Self::Parts(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/agatepin/src/relay/daemon.rs
@@ -0,0 +1,389 @@
+//! The entry on the direct path: its sockets, tasks and its graceful shutdown.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use agatepin_core::ids::ContentDigest;
+use agatepin_core::poison::SuspectKey;
+use agatepin_core::relay::book::EngineReport;
+use agatepin_core::relay::liveness::EntryListing;
+use agatepin_core::relay::share::RetryAllowance;
+use eyre::{Result, WrapErr};
+use prost::Message;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::relay::admit::EntryPlace;
+use crate::relay::call::CallRelay;
+use crate::relay::fleet::{AgentState, FleetHandle};
+use crate::relay::mirror::{self, SharedRows, TableMirror};
+use crate::relay::overlay::{
+    self, Datagram, DatagramBody, EngineLoad, EntryHello, EntryRow, KnownAgent, NamedWeights,
+    PullAnswer, PullWish, SuspectNews,
+};
+use crate::relay::ports::{MirrorTable, TableStore, WireDialect};
+use crate::relay::server::{DirectoryDesk, HttpServer};
+
+/// Time between two signs of life.
+const HELLO_INTERVAL: Duration = Duration::from_millis(500);
+/// Silence after which an agent is forgotten.
+const AGENT_SILENCE: Duration = Duration::from_secs(3);
+/// Largest datagram, in bytes.
+const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
+/// Most suspects told in one datagram.
+const MAX_SUSPECTS_TOLD: usize = 32;
+/// Pause before the entries' row is written again after a failure.
+const ROW_RETRY: Duration = Duration::from_millis(400);
+/// Time for which a leaving entry takes new connections: callers keep the directory's answer.
+const LEAVE_LISTENING: Duration = Duration::from_millis(2_500);
+/// Part of the grace period that is kept for the end of the process.
+const LEAVE_MARGIN: Duration = Duration::from_millis(500);
+/// Time for the removal of the entry's row at the end.
+const UNLIST_TIMEOUT: Duration = Duration::from_millis(400);
+
+agatepin_core::value_type! {
+    /// What an entry is started with.
+    pub struct EntryOptions {
+        /// Where it is.
+        pub place: EntryPlace,
+        /// Address for callers.
+        pub front: SocketAddr,
+        /// Address for the readiness check.
+        pub ready: SocketAddr,
+        /// Address for the directory.
+        pub directory: SocketAddr,
+        /// Address for other daemons.
+        pub overlay: SocketAddr,
+        /// Allowance of all entries for repeats.
+        pub retries: RetryAllowance,
+        /// Time from SIGTERM in which the process must end.
+        pub grace: Duration,
+    }
+}
+
+/// An entry that runs.
+pub struct RelayEntry<Store> {
+    fleet: FleetHandle,
+    store: Store,
+    name: String,
+    grace: Duration,
+    closing: CancellationToken,
+    leaving: CancellationToken,
+    open: TaskTracker,
+    hello: Rc<dyn Fn()>,
+}
+
+/// Binds the sockets and starts the tasks of an entry.
+///
+/// # Errors
+/// An address cannot be bound.
+pub async fn start<Store, Dialect>(
+    options: EntryOptions,
+    store: Store,
+    dialect: Dialect,
+) -> Result<RelayEntry<Store>>
+where
+    Store: TableStore,
+    Dialect: WireDialect,
+{
+    let fleet = FleetHandle::new(options.retries.clone());
+    let place = Rc::new(options.place.clone());
+    let own = EntryListing {
+        incarnation: rand::random(),
+        front: options.front,
+        overlay: options.overlay,
+        data_centre: place.data_centre.clone(),
+        region: place.region.clone(),
+    };
+    let closing = CancellationToken::new();
+    let leaving = CancellationToken::new();
+    let open = TaskTracker::new();
+    let bound = |listener| HttpServer {
+        listener,
+        closing: closing.clone(),
+        leaving: leaving.clone(),
+        open: open.clone(),
+    };
+    let relay: CallRelay<Store, Dialect> =
+        CallRelay::new(dialect.clone(), fleet.clone(), place.clone());
+    let front = bound(listen(options.front).await?);
+    actix_rt::spawn(front.run(move |request| relay.clone().answer(request)));
+    let desk = Rc::new(DirectoryDesk {
+        dialect: dialect.clone(),
+        fleet: fleet.clone(),
+        place: place.clone(),
+        own: own.clone(),
+    });
+    for address in BTreeSet::from([options.ready, options.directory]) {
+        let server = HttpServer {
+            listener: listen(address).await?,
+            closing: CancellationToken::new(),
+            leaving: CancellationToken::new(),
+            open: TaskTracker::new(),
+        };
+        let desk = desk.clone();
+        actix_rt::spawn(server.run(move |request| {
+            let response = desk.answer(&request);
+            async move { response }
+        }));
+    }
+    let mirror = TableMirror::new(store.clone(), dialect, fleet.clone(), place.name.clone());
+    for table in [MirrorTable::Operator, MirrorTable::Upstreams, MirrorTable::Entries] {
+        actix_rt::spawn(mirror.clone().run(table));
+    }
+    let pulls = listen(options.overlay).await?;
+    actix_rt::spawn(serve_rows(pulls, mirror.rows()));
+    let socket = UdpSocket::bind(options.overlay).await;
+    let socket = Rc::new(socket.wrap_err_with(|| format!("cannot bind {}", options.overlay))?);
+    actix_rt::spawn(hear(socket.clone(), fleet.clone()));
+    let speaker = Speaker {
+        socket,
+        fleet: fleet.clone(),
+        name: place.name.clone(),
+        own: own.clone(),
+    };
+    let hello = speaker.clone();
+    actix_rt::spawn(speaker.run());
+    actix_rt::spawn(list_entry(store.clone(), place.name.clone(), own));
+    log::info!(entry = place.name, front:% = options.front; "entry started");
+    Ok(RelayEntry {
+        fleet,
+        store,
+        name: options.place.name,
+        grace: options.grace,
+        closing,
+        leaving,
+        open,
+        hello: Rc::new(move || hello.speak()),
+    })
+}
+
+impl<Store> RelayEntry<Store>
+where
+    Store: TableStore,
+{
+    /// Leaves: out of the directory at once, connections end with their last answer, and new ones
+    /// are taken as long as callers may still know the address.
+    pub async fn leave(self) {
+        let started = Instant::now();
+        self.fleet.with(|fleet| fleet.leaving = true);
+        (self.hello)();
+        log::info!(entry = self.name; "graceful shutdown begins");
+        self.leaving.cancel();
+        let removal = self.store.write_entry(&self.name, None);
+        match timeout(UNLIST_TIMEOUT, removal).await {
+            Ok(Ok(())) => {}
+            failed => log::warn!(failed:?; "entry's row not removed"),
+        }
+        sleep(LEAVE_LISTENING.saturating_sub(started.elapsed())).await;
+        self.closing.cancel();
+        self.open.close();
+        let left = self.grace.saturating_sub(started.elapsed() + LEAVE_MARGIN);
+        let whole = timeout(left, self.open.wait()).await.is_ok();
+        log::info!(entry = self.name, whole; "entry stopped");
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener> {
+    let bound = TcpListener::bind(address).await;
+    bound.wrap_err_with(|| format!("cannot bind {address}"))
+}
+
+/// Writes the entry's row until the store has taken it.
+async fn list_entry<Store>(store: Store, name: String, own: EntryListing)
+where
+    Store: TableStore,
+{
+    let row = match EntryRow::write(&own) {
+        Ok(row) => row,
+        Err(err) => return log::error!(err:%; "entry's row cannot be written"),
+    };
+    loop {
+        match store.write_entry(&name, Some(row.clone())).await {
+            Ok(()) => return log::info!(entry = name; "entry listed"),
+            Err(err) => log::warn!(err:?; "entry not listed yet"),
+        }
+        sleep(ROW_RETRY).await;
+    }
+}
+
+async fn serve_rows(listener: TcpListener, rows: SharedRows) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(err) => {
+                log::warn!(err:%; "pull not taken");
+                sleep(ROW_RETRY).await;
+                continue;
+            }
+        };
+        let rows = rows.clone();
+        actix_rt::spawn(async move {
+            let answer = overlay::answer_pull(stream, |wish| async move { rows_for(&rows, &wish) });
+            if let Err(err) = answer.await {
+                log::debug!("pull of rows ended: {err}");
+            }
+        });
+    }
+}
+
+fn rows_for(rows: &SharedRows, wish: &PullWish) -> PullAnswer {
+    let PullWish::Rows(wish) = wish else {
+        return PullAnswer::default();
+    };
+    let table = wish.mirror_table();
+    let read = table.and_then(|table| mirror::newer_rows(rows, table, wish.after));
+    read.map(PullAnswer::from).unwrap_or_default()
+}
+
+async fn hear(socket: Rc<UdpSocket>, fleet: FleetHandle) {
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    loop {
+        let (length, from) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(err) => {
+                log::warn!(err:%; "datagram not received");
+                sleep(ROW_RETRY).await;
+                continue;
+            }
+        };
+        let body = match Datagram::decode(&buffer[..length]) {
+            Ok(datagram) => datagram.body,
+            Err(err) => {
+                log::debug!("datagram from {from} left out: {err}");
+                continue;
+            }
+        };
+        match body {
+            Some(DatagramBody::Hello(hello)) => take_hello(&fleet, hello),
+            Some(DatagramBody::Load(load)) => take_load(&fleet, from, load),
+            None => {}
+        }
+    }
+}
+
+fn take_hello(fleet: &FleetHandle, hello: EntryHello) {
+    let now = Instant::now();
+    fleet.with(|fleet| {
+        fleet.entries.heard(&hello.name, hello.incarnation, hello.ready, now);
+        for news in hello.suspects {
+            let Some(digest) = ContentDigest::from_slice(&news.digest) else {
+                continue;
+            };
+            let key = SuspectKey {
+                customer: news.customer,
+                body_digest: digest,
+            };
+            fleet.suspects.learn(key, news.witnesses, now);
+        }
+    });
+}
+
+fn take_load(fleet: &FleetHandle, from: SocketAddr, load: EngineLoad) {
+    let now = Instant::now();
+    let Ok(engine) = load.engine.parse::<SocketAddr>() else {
+        return log::debug!("report from {from} names no engine");
+    };
+    let report = EngineReport {
+        up: load.up,
+        weights: Some(load.weights).filter(|version| *version > 0),
+        busy: load.busy,
+        active: load.active,
+        queued: load.queued,
+    };
+    let agent = AgentState {
+        region: load.region,
+        holds: Some(load.holds).filter(|version| *version > 0),
+        heard: now,
+    };
+    fleet.with(|fleet| {
+        fleet.book.report(engine, report, now);
+        fleet.agents.insert(from, agent);
+    });
+    fleet.freed.notify_one();
+}
+
+/// Tells the other daemons that this entry lives, and what it knows.
+#[derive(Clone)]
+struct Speaker {
+    socket: Rc<UdpSocket>,
+    fleet: FleetHandle,
+    name: String,
+    own: EntryListing,
+}
+
+impl Speaker {
+    async fn run(self) {
+        loop {
+            self.speak();
+            sleep(HELLO_INTERVAL).await;
+        }
+    }
+
+    fn speak(&self) {
+        let now = Instant::now();
+        let hello = self.hello(now);
+        let data = Datagram {
+            body: Some(DatagramBody::Hello(hello)),
+        };
+        let data = data.encode_to_vec();
+        for peer in self.peers() {
+            if let Err(err) = self.socket.try_send_to(&data, peer) {
+                log::debug!("sign of life to {peer} not sent: {err}");
+            }
+        }
+    }
+
+    fn hello(&self, now: Instant) -> EntryHello {
+        let ready = self.fleet.is_ready();
+        self.fleet.with(|fleet| {
+            fleet.agents.retain(|_, agent| {
+                now.saturating_duration_since(agent.heard) < AGENT_SILENCE
+            });
+            let weights = fleet.weights.iter().map(|(model, target)| NamedWeights {
+                model: model.clone(),
+                version: target.version,
+            });
+            let agents = fleet.agents.iter().map(|(overlay, agent)| KnownAgent {
+                overlay: overlay.to_string(),
+                region: agent.region.clone(),
+                holds: agent.holds.unwrap_or_default(),
+            });
+            let suspects = fleet.suspects.news().take(MAX_SUSPECTS_TOLD);
+            let suspects = suspects.map(|(key, witnesses)| SuspectNews {
+                customer: key.customer.clone(),
+                digest: key.body_digest.as_bytes().to_vec(),
+                witnesses: witnesses.iter().cloned().collect(),
+            });
+            EntryHello {
+                name: self.name.clone(),
+                incarnation: self.own.incarnation,
+                ready,
+                weights: weights.collect(),
+                agents: agents.collect(),
+                suspects: suspects.collect(),
+            }
+        })
+    }
+
+    /// Other entries, agents that were heard, and those beside listed engines.
+    fn peers(&self) -> BTreeSet<SocketAddr> {
+        self.fleet.with(|fleet| {
+            let entries = fleet.entries.others(&self.name);
+            let mut peers: BTreeSet<SocketAddr> =
+                entries.map(|(_, listing)| listing.overlay).collect();
+            peers.extend(fleet.agents.keys().copied());
+            let engines = fleet.book.iter();
+            let engines = engines.filter(|(_, state)| state.listing.weights.is_some());
+            let port = self.own.overlay.port();
+            peers.extend(engines.map(|(_, state)| {
+                SocketAddr::new(state.listing.address.ip(), port)
+            }));
+            peers
+        })
+    }
+}
--- /dev/null
+++ b/crates/agatepin/src/relay/fleet.rs
@@ -0,0 +1,174 @@
+//! What an entry believes, shared by its tasks.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use agatepin_core::ids::{ModelId, RegionId, ServiceId};
+use agatepin_core::poison::SuspectTracker;
+use agatepin_core::relay::book::UpstreamBook;
+use agatepin_core::relay::catalog::{RouteCatalog, WeightsNumber};
+use agatepin_core::relay::chooser::WeightsTarget;
+use agatepin_core::relay::liveness::EntryDirectory;
+use agatepin_core::relay::share::{ColdShare, RetryAllowance, RetryShare};
+use tokio::sync::Notify;
+
+use crate::relay::ports::FleetFact;
+
+/// Time for which a request that crashed upstreams is remembered: longer than its callers repeat it.
+const SUSPECT_KEEP: Duration = Duration::from_secs(60);
+
+agatepin_core::value_type! {
+    /// What an agent says of itself.
+    pub struct AgentState {
+        /// Region of the agent.
+        pub region: RegionId,
+        /// Version whose pieces it holds completely.
+        pub holds: Option<WeightsNumber>,
+        /// When it was last heard.
+        pub heard: Instant,
+    }
+}
+
+/// Everything that an entry believes.
+pub struct FleetState {
+    /// Catalog in force.
+    pub catalog: Option<Rc<RouteCatalog>>,
+    /// Upstreams.
+    pub book: UpstreamBook,
+    /// The list of upstreams has been read.
+    pub listed: bool,
+    /// Weights that operators named.
+    pub weights: BTreeMap<ModelId, WeightsTarget>,
+    /// Entries.
+    pub entries: EntryDirectory,
+    /// Agents by overlay address.
+    pub agents: HashMap<SocketAddr, AgentState>,
+    /// Cold upstreams' rates.
+    pub cold: ColdShare,
+    /// Requests that crashed upstreams.
+    pub suspects: SuspectTracker,
+    /// This process is leaving.
+    pub leaving: bool,
+    allowance: RetryAllowance,
+    retries: HashMap<ServiceId, RetryShare>,
+}
+
+/// Shared state of an entry.
+#[derive(Clone)]
+pub struct FleetHandle {
+    state: Rc<RefCell<FleetState>>,
+    /// Wakes a request that waits for a place.
+    pub freed: Rc<Notify>,
+}
+
+impl FleetHandle {
+    /// A state that knows nothing.
+    #[must_use]
+    pub fn new(allowance: RetryAllowance) -> Self {
+        let state = FleetState {
+            catalog: None,
+            book: UpstreamBook::default(),
+            listed: false,
+            weights: BTreeMap::new(),
+            entries: EntryDirectory::default(),
+            agents: HashMap::new(),
+            cold: ColdShare::default(),
+            suspects: SuspectTracker::new(SUSPECT_KEEP),
+            leaving: false,
+            allowance,
+            retries: HashMap::new(),
+        };
+        Self {
+            state: Rc::new(RefCell::new(state)),
+            freed: Rc::new(Notify::new()),
+        }
+    }
+
+    /// Reads or changes the state; `act` must not wait.
+    pub fn with<Act, Out>(&self, act: Act) -> Out
+    where
+        Act: FnOnce(&mut FleetState) -> Out,
+    {
+        act(&mut self.state.borrow_mut())
+    }
+
+    /// Whether callers may be sent here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.with(|fleet| fleet.catalog.is_some() && fleet.listed && !fleet.leaving)
+    }
+}
+
+impl FleetState {
+    /// Takes what a row says. `may_have_lapsed`: entries of the list may be missing only because
+    /// the store was away.
+    pub fn learn(&mut self, fact: FleetFact, may_have_lapsed: bool, now: Instant) {
+        match fact {
+            FleetFact::Catalog(source) => self.learn_catalog(RouteCatalog::from(*source)),
+            FleetFact::Upstream(id, listing) => {
+                let known = self.book.get(&id).map(|state| state.listing.draining);
+                if known != Some(listing.draining) {
+                    let draining = listing.draining;
+                    log::info!(upstream = id, draining, service = listing.service; "upstream listed");
+                }
+                self.book.list(&id, listing, now);
+            }
+            FleetFact::UpstreamGone(id) => {
+                log::info!(upstream = id, may_have_lapsed; "upstream left the list");
+                self.book.unlist(&id, may_have_lapsed);
+            }
+            FleetFact::Evacuated(data_centre) => {
+                log::info!(data_centre; "data centre taken out");
+                self.book.evacuate(&data_centre, true);
+            }
+            FleetFact::Returned(data_centre) => {
+                log::info!(data_centre; "data centre back");
+                self.book.evacuate(&data_centre, false);
+            }
+            FleetFact::Weights { model, version } => self.learn_weights(&model, version, now),
+            FleetFact::Ignored => {}
+        }
+    }
+
+    fn learn_catalog(&mut self, catalog: RouteCatalog) {
+        let old = self.catalog.as_ref().map(|known| known.version());
+        let new = catalog.version();
+        if old.is_some_and(|old| old >= new) {
+            return;
+        }
+        log::info!(old:?, new; "catalog in force");
+        self.catalog = Some(Rc::new(catalog));
+    }
+
+    fn learn_weights(&mut self, model: &str, version: WeightsNumber, now: Instant) {
+        let known = self.weights.get(model);
+        if known.is_some_and(|target| target.version >= version) {
+            return;
+        }
+        log::info!(model, version; "weights named");
+        let target = WeightsTarget {
+            version,
+            since: now,
+        };
+        self.weights.insert(model.to_owned(), target);
+    }
+
+    /// Counts a request's first send to `service`.
+    pub fn first_send(&mut self, service: &str, now: Instant) {
+        self.retry_share(service, now).request();
+    }
+
+    /// Takes a repeat for `service` from this entry's share.
+    pub fn try_repeat(&mut self, service: &str, entries: usize, now: Instant) -> bool {
+        self.retry_share(service, now).try_repeat(entries, now)
+    }
+
+    fn retry_share(&mut self, service: &str, now: Instant) -> &mut RetryShare {
+        let allowance = self.allowance.clone();
+        let share = || RetryShare::new(allowance, now);
+        self.retries.entry(service.to_owned()).or_insert_with(share)
+    }
+}
--- /dev/null
+++ b/crates/agatepin/src/relay/log_line.rs
@@ -0,0 +1,70 @@
+//! The line that each request leaves in the log.
+
+use std::time::Instant;
+
+use agatepin_core::ids::UpstreamId;
+
+/// What is told of a request when it ends, also where its caller left.
+#[derive(Debug)]
+pub struct RequestLine {
+    id: String,
+    started: Instant,
+    /// Route that was taken.
+    pub route: String,
+    /// Customer of the caller.
+    pub customer: String,
+    /// Catalog that was in force.
+    pub catalog: u64,
+    /// Upstreams that it was sent to.
+    pub sent_to: Vec<UpstreamId>,
+    /// How it ended.
+    pub outcome: &'static str,
+    /// Status that the caller got; 0 where it left.
+    pub status: u16,
+    /// Milliseconds to the head of the answer.
+    pub head_ms: Option<u128>,
+}
+
+impl RequestLine {
+    /// A line for the request `id`, which just came.
+    #[must_use]
+    pub fn new(id: String, started: Instant) -> Self {
+        Self {
+            id,
+            started,
+            route: String::new(),
+            customer: String::new(),
+            catalog: 0,
+            sent_to: Vec::new(),
+            outcome: "caller_left",
+            status: 0,
+            head_ms: None,
+        }
+    }
+
+    /// Notes the head of the answer.
+    pub fn head(&mut self, status: u16, outcome: &'static str) {
+        self.status = status;
+        self.outcome = outcome;
+        self.head_ms = Some(self.started.elapsed().as_millis());
+    }
+}
+
+impl Drop for RequestLine {
+    fn drop(&mut self) {
+        let ms = u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let head_ms = self.head_ms.and_then(|ms| u64::try_from(ms).ok());
+        log::info!(
+            request = self.id,
+            route = self.route,
+            customer = self.customer,
+            catalog = self.catalog,
+            sent_to = self.sent_to.join(","),
+            outcome = self.outcome,
+            status = self.status,
+            head_ms,
+            ms;
+            "request"
+        );
+    }
+}
--- /dev/null
+++ b/crates/agatepin/src/relay/mirror.rs
@@ -0,0 +1,252 @@
+//! Keeps an entry's copy of the platform's tables: long polls, and other entries where the store
+//! does not answer.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use agatepin_core::relay::book::LAPSE_GRACE;
+use tokio::time::sleep;
+
+use crate::relay::fleet::FleetHandle;
+use crate::relay::overlay::{self, EntryRow};
+use crate::relay::ports::{
+    FleetFact, MirrorTable, RowVersion, StoreError, TableRead, TableRow, TableStore, WireDialect,
+};
+
+/// Longest wait of one long poll: a connection that went silent is given up within the time that
+/// the platform allows after it.
+const POLL_WAIT: Duration = Duration::from_millis(2_000);
+/// Pause after changes, so that those of a busy moment come in one answer.
+const CHANGE_PAUSE: Duration = Duration::from_millis(250);
+/// Pause after a failure.
+const FAILURE_PAUSE: Duration = Duration::from_millis(250);
+
+/// Rows of one table.
+#[derive(Debug, Default)]
+pub struct MirrorRows {
+    rows: BTreeMap<String, TableRow>,
+    version: RowVersion,
+    listed: bool,
+}
+
+/// Rows of all tables that an entry mirrors.
+pub type SharedRows = Rc<RefCell<BTreeMap<MirrorTable, MirrorRows>>>;
+
+/// Keeps one entry's mirror of the tables.
+#[derive(Clone)]
+pub struct TableMirror<Store, Dialect> {
+    store: Store,
+    dialect: Dialect,
+    fleet: FleetHandle,
+    rows: SharedRows,
+    own_name: String,
+    returned: Rc<RefCell<Option<Instant>>>,
+}
+
+impl<Store, Dialect> TableMirror<Store, Dialect>
+where
+    Store: TableStore,
+    Dialect: WireDialect,
+{
+    /// An empty mirror.
+    pub fn new(store: Store, dialect: Dialect, fleet: FleetHandle, own_name: String) -> Self {
+        Self {
+            store,
+            dialect,
+            fleet,
+            rows: SharedRows::default(),
+            own_name,
+            returned: Rc::default(),
+        }
+    }
+
+    /// The rows, for other entries.
+    #[must_use]
+    pub fn rows(&self) -> SharedRows {
+        self.rows.clone()
+    }
+
+    /// Mirrors one table for good.
+    pub async fn run(self, table: MirrorTable) {
+        let mut lost = false;
+        loop {
+            match self.read(table).await {
+                Ok(changes) => {
+                    if lost {
+                        log::info!(table:?; "store regained");
+                        *self.returned.borrow_mut() = Some(Instant::now());
+                        lost = false;
+                        self.settle_later();
+                    }
+                    if changes > 0 {
+                        sleep(CHANGE_PAUSE).await;
+                    }
+                }
+                Err(StoreError::HistoryGone) => {
+                    log::info!(table:?; "history of the store is gone; reading all rows");
+                    self.unlisted(table);
+                }
+                Err(err) => {
+                    if !lost {
+                        log::warn!(table:?, err:?; "store lost");
+                    }
+                    lost = true;
+                    self.ask_entries(table).await;
+                    sleep(FAILURE_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    fn unlisted(&self, table: MirrorTable) {
+        self.rows.borrow_mut().entry(table).or_default().listed = false;
+    }
+
+    async fn read(&self, table: MirrorTable) -> Result<usize, StoreError> {
+        let (listed, version) = {
+            let mut rows = self.rows.borrow_mut();
+            let known = rows.entry(table).or_default();
+            (known.listed, known.version)
+        };
+        if !listed {
+            let read = self.store.list(table).await?;
+            let changes = read.rows.len();
+            self.replace(table, read);
+            return Ok(changes.min(1));
+        }
+        let read = self.store.feed(table, version, POLL_WAIT).await?;
+        let changes = read.rows.len();
+        let lapses = self.may_have_lapsed(false);
+        let mut rows = self.rows.borrow_mut();
+        let known = rows.entry(table).or_default();
+        known.version = known.version.max(read.version);
+        drop(rows);
+        for row in read.rows {
+            self.apply(table, row, lapses);
+        }
+        Ok(changes)
+    }
+
+    /// Takes all rows of a table; rows that are missing are gone.
+    fn replace(&self, table: MirrorTable, read: TableRead) {
+        let lapses = self.may_have_lapsed(false);
+        let mut gone = Vec::new();
+        {
+            let mut rows = self.rows.borrow_mut();
+            let known = rows.entry(table).or_default();
+            known.listed = true;
+            known.version = known.version.max(read.version);
+            for key in known.rows.keys() {
+                if !read.rows.iter().any(|row| row.key == *key) {
+                    gone.push(key.clone());
+                }
+            }
+        }
+        for key in gone {
+            let version = read.version;
+            self.apply(table, TableRow { key, version, value: None }, lapses);
+        }
+        for row in read.rows {
+            self.apply(table, row, lapses);
+        }
+        if table == MirrorTable::Upstreams {
+            self.fleet.with(|fleet| fleet.listed = true);
+        }
+    }
+
+    fn apply(&self, table: MirrorTable, row: TableRow, lapses: bool) {
+        {
+            let mut rows = self.rows.borrow_mut();
+            let known = rows.entry(table).or_default();
+            let old = known.rows.get(&row.key);
+            if old.is_some_and(|old| old.version >= row.version) {
+                return;
+            }
+            if row.value.is_some() {
+                known.rows.insert(row.key.clone(), row.clone());
+            } else {
+                known.rows.remove(&row.key);
+            }
+        }
+        let now = Instant::now();
+        if table == MirrorTable::Entries {
+            return self.apply_entry(&row, now);
+        }
+        match self.dialect.read_row(table, &row) {
+            Ok(fact) => self.fleet.with(|fleet| fleet.learn(fact, lapses, now)),
+            Err(err) => {
+                log::warn!(table:?, key = row.key, reason = err.0; "row left out");
+                if table == MirrorTable::Upstreams {
+                    let gone = FleetFact::UpstreamGone(row.key);
+                    self.fleet.with(|fleet| fleet.learn(gone, false, now));
+                }
+            }
+        }
+    }
+
+    fn apply_entry(&self, row: &TableRow, now: Instant) {
+        let Some(value) = &row.value else {
+            return self.fleet.with(|fleet| fleet.entries.unlist(&row.key));
+        };
+        match EntryRow::parse(value) {
+            Ok(listing) => self.fleet.with(|fleet| fleet.entries.list(&row.key, listing, now)),
+            Err(err) => log::warn!(key = row.key, err:%; "row of an entry left out"),
+        }
+    }
+
+    fn may_have_lapsed(&self, lost: bool) -> bool {
+        let returned = *self.returned.borrow();
+        lost || returned.is_some_and(|at| at.elapsed() < LAPSE_GRACE)
+    }
+
+    fn settle_later(&self) {
+        let fleet = self.fleet.clone();
+        actix_rt::spawn(async move {
+            sleep(LAPSE_GRACE).await;
+            fleet.with(|fleet| fleet.book.settle());
+        });
+    }
+
+    /// Reads the table from another entry that has newer rows.
+    async fn ask_entries(&self, table: MirrorTable) {
+        let now = Instant::now();
+        let own = self.own_name.clone();
+        let peers: Vec<_> = self.fleet.with(|fleet| {
+            let alive = fleet.entries.alive(&own, now);
+            alive.map(|listing| listing.overlay).collect()
+        });
+        let version = self.rows.borrow_mut().entry(table).or_default().version;
+        if peers.is_empty() {
+            return;
+        }
+        let start = rand::random_range(0..peers.len());
+        for offset in 0..peers.len().min(2) {
+            let peer = peers[(start + offset) % peers.len()];
+            let Some(read) = overlay::pull_rows(peer, table, version).await else {
+                continue;
+            };
+            if read.version > version {
+                log::info!(table:?, peer:%, version = read.version; "rows taken from another entry");
+                self.replace(table, read);
+                self.unlisted(table);
+            }
+            return;
+        }
+    }
+}
+
+/// Rows of a table for another process, where they are newer than `after`.
+#[must_use]
+pub fn newer_rows(rows: &SharedRows, table: MirrorTable, after: RowVersion) -> Option<TableRead> {
+    let rows = rows.borrow();
+    let known = rows.get(&table)?;
+    if !known.listed || known.version <= after {
+        return None;
+    }
+    Some(TableRead {
+        rows: known.rows.values().cloned().collect(),
+        version: known.version,
+    })
+}
--- /dev/null
+++ b/crates/agatepin/src/relay/mod.rs
@@ -0,0 +1,19 @@
+//! The direct path of an entry: callers' requests go straight to upstreams, with what the
+//! platform's tables, the agents and the answers tell of them.
+//!
+//! Nothing here knows the platform's names. [`ports`] has the traits that its adapter implements.
+
+pub mod admit;
+pub mod body;
+pub mod call;
+pub mod daemon;
+pub mod fleet;
+pub mod http_client;
+pub mod log_line;
+pub mod mirror;
+pub mod overlay;
+pub mod ports;
+pub mod refusal;
+pub mod send;
+pub mod server;
+pub mod stream;
--- /dev/null
+++ b/crates/agatepin/src/relay/server.rs
@@ -0,0 +1,152 @@
+//! HTTP servers of an entry: callers, the directory and the readiness check.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use agatepin_core::relay::liveness::EntryListing;
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::relay::admit::EntryPlace;
+use crate::relay::body::ReplyBody;
+use crate::relay::fleet::FleetHandle;
+use crate::relay::ports::WireDialect;
+
+/// Time for which callers may keep an answer of the directory.
+const ADDRESSES_TTL: Duration = Duration::from_secs(2);
+/// Time for which a caller's connection may stay idle before a catalog says so.
+const DEFAULT_IDLE: Duration = Duration::from_secs(15);
+/// Largest head of a request, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Pause after a connection could not be taken, mostly for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Serves connections of one listener until `closing`; each ends its last answer once `leaving`.
+pub struct HttpServer {
+    /// Sockets of callers.
+    pub listener: TcpListener,
+    /// New connections are no longer taken.
+    pub closing: CancellationToken,
+    /// Connections end with their last answer.
+    pub leaving: CancellationToken,
+    /// Connections that are open.
+    pub open: TaskTracker,
+}
+
+impl HttpServer {
+    /// Takes connections and answers their requests by `answer`.
+    pub async fn run<Answer, Answering>(self, answer: Answer)
+    where
+        Answer: Fn(Request<Incoming>) -> Answering + Clone + 'static,
+        Answering: Future<Output = Response<ReplyBody>> + 'static,
+    {
+        loop {
+            let accepted = tokio::select! {
+                accepted = self.listener.accept() => accepted,
+                () = self.closing.cancelled() => return,
+            };
+            let stream = match accepted {
+                Ok((stream, _)) => stream,
+                Err(err) => {
+                    log::warn!(err:%; "connection not taken");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                    continue;
+                }
+            };
+            let answer = answer.clone();
+            let leaving = self.leaving.clone();
+            let connection = self.open.track_future(serve(stream, leaving, answer));
+            actix_rt::spawn(connection);
+        }
+    }
+}
+
+async fn serve<Answer, Answering>(stream: TcpStream, leaving: CancellationToken, answer: Answer)
+where
+    Answer: Fn(Request<Incoming>) -> Answering,
+    Answering: Future<Output = Response<ReplyBody>>,
+{
+    if let Err(err) = stream.set_nodelay(true) {
+        log::debug!("no delay cannot be switched off: {err}");
+    }
+    let service = service_fn(|request| {
+        let answering = answer(request);
+        async move { Ok::<_, Infallible>(answering.await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(DEFAULT_IDLE)
+        .max_buf_size(MAX_HEAD_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = leaving.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(err) = ended {
+        log::debug!("caller's connection ended: {err}");
+    }
+}
+
+/// Answers callers that ask where to connect, and the platform's readiness check.
+pub struct DirectoryDesk<Dialect> {
+    /// Reads questions and writes answers.
+    pub dialect: Dialect,
+    /// State of the entry.
+    pub fleet: FleetHandle,
+    /// Where this entry is.
+    pub place: Rc<EntryPlace>,
+    /// This entry as callers see it.
+    pub own: EntryListing,
+}
+
+impl<Dialect> DirectoryDesk<Dialect>
+where
+    Dialect: WireDialect,
+{
+    /// Answers one request.
+    pub fn answer(&self, request: &Request<Incoming>) -> Response<ReplyBody> {
+        let uri = request.uri();
+        if self.dialect.is_ready_question(uri) {
+            let ready = self.fleet.is_ready();
+            return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE });
+        }
+        let Some(question) = self.dialect.read_question(uri) else {
+            return plain(StatusCode::NOT_FOUND);
+        };
+        let ready = self.fleet.is_ready();
+        let own = Some(&self.own).filter(|_| ready);
+        let addresses: Vec<SocketAddr> = self.fleet.with(|fleet| {
+            let (dc, region) = (&question.data_centre, &question.region);
+            let now = Instant::now();
+            fleet.entries.addresses(&self.place.name, own, dc, region, now)
+        });
+        if addresses.is_empty() {
+            return plain(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        let body = self.dialect.write_addresses(&addresses, ADDRESSES_TTL);
+        let mut response = Response::new(ReplyBody::from(body));
+        let json = HeaderValue::from_static("application/json");
+        response.headers_mut().insert(CONTENT_TYPE, json);
+        response
+    }
+}
+
+fn plain(status: StatusCode) -> Response<ReplyBody> {
+    let mut response = Response::new(ReplyBody::from(Bytes::new()));
+    *response.status_mut() = status;
+    response
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod poison;
 pub mod pull;
 pub mod rank;
+pub mod relay;
 pub mod retry;
 pub mod router;
 pub mod spread;
--- /dev/null
+++ b/crates/core/src/relay/mod.rs
@@ -0,0 +1,11 @@
+//! Decisions of the direct path: an entry passes a caller's request straight to an upstream, and
+//! agents bring weights to the upstreams beside them.
+
+pub mod book;
+pub mod catalog;
+pub mod chooser;
+pub mod events;
+pub mod liveness;
+pub mod rollout;
+pub mod share;
+pub mod sources;
