--- a/crates/agatepin/src/loader/swap.rs
+++ b/crates/agatepin/src/loader/swap.rs
@@ -43,15 +43,19 @@
 {
     /// Keeps the engine at the named version for good.
     pub async fn run(self) {
-        let mut staged_read = false;
+        // Start of the engine whose stage was read: a loss of power empties the stage.
+        let mut staged_read = None;
         loop {
             sleep(LOOK_INTERVAL).await;
             let Some(plan) = self.fetcher.view.borrow().plan(&self.service) else {
                 continue;
             };
-            if !staged_read {
+            let Some(state) = self.beat.state() else {
+                continue;
+            };
+            if staged_read != Some(state.born) {
                 self.fetcher.take_staged(&plan).await;
-                staged_read = true;
+                staged_read = Some(state.born);
             }
             if self.holds(plan.version) {
                 continue;
--- a/crates/agatepin/src/relay/daemon.rs
+++ b/crates/agatepin/src/relay/daemon.rs
@@ -259,17 +259,21 @@
             }
         };
         match body {
-            Some(DatagramBody::Hello(hello)) => take_hello(&fleet, hello),
+            Some(DatagramBody::Hello(hello)) => take_hello(&fleet, from, hello),
             Some(DatagramBody::Load(load)) => take_load(&fleet, from, load),
             None => {}
         }
     }
 }
 
-fn take_hello(fleet: &FleetHandle, hello: EntryHello) {
+fn take_hello(fleet: &FleetHandle, from: SocketAddr, hello: EntryHello) {
     let now = Instant::now();
+    let listing = match hello.listing(from) {
+        Ok(listing) => listing,
+        Err(err) => return log::debug!("sign of life from {from} left out: {err}"),
+    };
     fleet.with(|fleet| {
-        fleet.entries.heard(&hello.name, hello.incarnation, hello.ready, now);
+        fleet.entries.heard(&hello.name, listing, hello.ready, now);
         for news in hello.suspects {
             let Some(digest) = ContentDigest::from_slice(&news.digest) else {
                 continue;
@@ -366,6 +370,9 @@
                 weights: weights.collect(),
                 agents: agents.collect(),
                 suspects: suspects.collect(),
+                front: self.own.front.to_string(),
+                data_centre: self.own.data_centre.clone(),
+                region: self.own.region.clone(),
             }
         })
     }
--- a/crates/agatepin/src/relay/http_client.rs
+++ b/crates/agatepin/src/relay/http_client.rs
@@ -73,13 +73,80 @@
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
         .map_err(ExchangeError::Exchange)?;
-    let guard = ConnectionGuard(actix_rt::spawn(async move {
+    let guard = drive(address, connection);
+    let response = sender.send_request(request).await;
+    Ok((response.map_err(ExchangeError::Exchange)?, guard))
+}
+
+/// A connection that is kept for calls that may be repeated, one after the other.
+#[derive(Debug, Default)]
+pub struct KeptConnection {
+    open: Option<(http1::SendRequest<Full<Bytes>>, ConnectionGuard)>,
+}
+
+impl KeptConnection {
+    /// Calls `address` and reads the whole answer within `total`; connects where it must.
+    ///
+    /// # Errors
+    /// There is no answer in time, or it is broken; the connection is given up.
+    pub async fn fetch(
+        &mut self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        total: Duration,
+    ) -> Result<(StatusCode, Bytes), StoreError> {
+        let answer = timeout(total, self.exchange(address, request)).await;
+        let answer = answer.unwrap_or_else(|_| {
+            let text = format!("no answer within {total:?}");
+            Err(StoreError::Broken(text))
+        });
+        if answer.is_err() {
+            self.open = None;
+        }
+        answer
+    }
+
+    async fn exchange(
+        &mut self,
+        address: SocketAddr,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<(StatusCode, Bytes), StoreError> {
+        let broken = |err: hyper::Error| StoreError::Broken(err.to_string());
+        request.headers_mut().insert(HOST, host_header(address)?);
+        if self.open.as_ref().is_none_or(|(sender, _)| sender.is_closed()) {
+            let stream = TcpStream::connect(address).await;
+            let stream = stream.map_err(|err| StoreError::Broken(err.to_string()))?;
+            let handshake = http1::handshake(TokioIo::new(stream)).await;
+            let (sender, connection) = handshake.map_err(broken)?;
+            self.open = Some((sender, drive(address, connection)));
+        }
+        let Some((sender, _)) = &mut self.open else {
+            return Err(StoreError::Broken("no connection".to_owned()));
+        };
+        sender.ready().await.map_err(broken)?;
+        let response = sender.send_request(request).await.map_err(broken)?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+        let whole = body.collect().await;
+        let whole = whole.map_err(|err| StoreError::Broken(err.to_string()))?;
+        Ok((status, whole.to_bytes()))
+    }
+}
+
+fn host_header(address: SocketAddr) -> Result<HeaderValue, StoreError> {
+    let host = HeaderValue::from_str(&address.to_string());
+    host.map_err(|err| StoreError::Broken(err.to_string()))
+}
+
+fn drive(
+    address: SocketAddr,
+    connection: http1::Connection<TokioIo<TcpStream>, Full<Bytes>>,
+) -> ConnectionGuard {
+    ConnectionGuard(actix_rt::spawn(async move {
         if let Err(err) = connection.await {
             log::debug!("connection to {address} ended: {err}");
         }
-    }));
-    let response = sender.send_request(request).await;
-    Ok((response.map_err(ExchangeError::Exchange)?, guard))
+    }))
 }
 
 /// Calls the platform at `address` and reads the whole answer within `total`.
@@ -92,9 +159,7 @@
     connect: Duration,
     total: Duration,
 ) -> Result<(StatusCode, Bytes), StoreError> {
-    let host = HeaderValue::from_str(&address.to_string());
-    let host = host.map_err(|err| StoreError::Broken(err.to_string()))?;
-    request.headers_mut().insert(HOST, host);
+    request.headers_mut().insert(HOST, host_header(address)?);
     let exchange = async {
         let sent = send(address, request, connect).await;
         let (response, guard) = sent.map_err(|err| StoreError::Broken(err.to_string()))?;
--- a/crates/agatepin/src/relay/mirror.rs
+++ b/crates/agatepin/src/relay/mirror.rs
@@ -18,6 +18,8 @@
 /// Longest wait of one long poll: a connection that went silent is given up within the time that
 /// the platform allows after it.
 const POLL_WAIT: Duration = Duration::from_millis(2_000);
+/// Longest wait for the table of entries: their signs of life tell the same sooner.
+const ENTRIES_WAIT: Duration = Duration::from_secs(15);
 /// Pause after changes, so that those of a busy moment come in one answer.
 const CHANGE_PAUSE: Duration = Duration::from_millis(250);
 /// Pause after a failure.
@@ -116,7 +118,11 @@
             self.replace(table, read);
             return Ok(changes.min(1));
         }
-        let read = self.store.feed(table, version, POLL_WAIT).await?;
+        let wait = match table {
+            MirrorTable::Entries => ENTRIES_WAIT,
+            MirrorTable::Operator | MirrorTable::Upstreams => POLL_WAIT,
+        };
+        let read = self.store.feed(table, version, wait).await?;
         let changes = read.rows.len();
         let lapses = self.may_have_lapsed(false);
         let mut rows = self.rows.borrow_mut();
--- a/crates/agatepin/src/relay/overlay.rs
+++ b/crates/agatepin/src/relay/overlay.rs
@@ -65,6 +65,32 @@
     /// Requests that crashed upstreams.
     #[prost(message, repeated, tag = "6")]
     pub suspects: Vec<SuspectNews>,
+    /// Address for callers.
+    #[prost(string, tag = "7")]
+    pub front: String,
+    /// Data centre.
+    #[prost(string, tag = "8")]
+    pub data_centre: String,
+    /// Region of the data centre.
+    #[prost(string, tag = "9")]
+    pub region: String,
+}
+
+impl EntryHello {
+    /// The entry that sent this from `overlay`.
+    ///
+    /// # Errors
+    /// Its address is not one.
+    pub fn listing(&self, overlay: SocketAddr) -> Result<EntryListing> {
+        let front = self.front.parse();
+        Ok(EntryListing {
+            incarnation: self.incarnation,
+            front: front.wrap_err_with(|| format!("entry {} has no address", self.name))?,
+            overlay,
+            data_centre: self.data_centre.clone(),
+            region: self.region.clone(),
+        })
+    }
 }
 
 /// A model's named version.
--- a/crates/core/src/relay/liveness.rs
+++ b/crates/core/src/relay/liveness.rs
@@ -41,10 +41,10 @@
 }
 
 impl EntryDirectory {
-    /// Takes a row of the table of entries.
+    /// Takes a row of the table of entries. An entry that is heard has said so itself.
     pub fn list(&mut self, name: &InstanceId, listing: EntryListing, now: Instant) {
         let known = self.entries.get(name);
-        if known.is_some_and(|state| state.listing == listing) {
+        if known.is_some_and(|state| state.listing == listing || is_alive(state, now)) {
             return;
         }
         let state = EntryState {
@@ -61,17 +61,17 @@
         self.entries.remove(name);
     }
 
-    /// Takes a sign of life; returns false where the entry is not listed with that incarnation.
-    pub fn heard(&mut self, name: &str, from: IncarnationId, ready: bool, now: Instant) -> bool {
-        let Some(state) = self.entries.get_mut(name) else {
-            return false;
-        };
-        if state.listing.incarnation != from {
-            return false;
-        }
+    /// Takes a sign of life, which also introduces an entry that is not listed yet.
+    pub fn heard(&mut self, name: &InstanceId, from: EntryListing, ready: bool, now: Instant) {
+        let state = self.entries.entry(name.clone()).or_insert_with(|| EntryState {
+            listing: from.clone(),
+            listed: now,
+            heard: None,
+            ready,
+        });
+        state.listing = from;
         state.heard = Some(now);
         state.ready = ready;
-        true
     }
 
     /// All listed entries but `own`.
