--- a/crates/agatepin/src/loader/daemon.rs
+++ b/crates/agatepin/src/loader/daemon.rs
@@ -83,12 +83,14 @@
         engine,
         vault,
         view,
+        beat: beat.clone(),
         own: PieceAgent {
             overlay: options.overlay,
             region: options.region,
             holds: None,
         },
     };
+    actix_rt::spawn(fetcher.clone().run(options.service.clone()));
     let swapper = WeightSwapper {
         fetcher,
         beat,
--- a/crates/agatepin/src/loader/pieces.rs
+++ b/crates/agatepin/src/loader/pieces.rs
@@ -5,22 +5,33 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use agatepin_core::ids::ServiceId;
+use agatepin_core::rank;
 use agatepin_core::relay::sources::{PieceAgent, PieceSource, sources};
 use bytes::Bytes;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
+use tokio::time::sleep;
 
+use crate::loader::beat::EngineBeat;
 use crate::loader::vault::PieceVault;
 use crate::loader::view::{LoadPlan, SharedView};
 use crate::relay::overlay::{self, DigestsWish, PieceWish, PullAnswer, PullWish};
 use crate::relay::ports::{EnginePort, PieceDigests};
 
 /// Pieces that are fetched at a time: they share the link of the agent's machine.
-const PARALLEL_PIECES: usize = 6;
+const PARALLEL_PIECES: usize = 8;
 /// Time for which an agent that is asked waits until it has a piece itself.
-const HOLD: Duration = Duration::from_millis(1_800);
-/// Time for a pull of a piece, with the wait at its source.
-const PULL_TIMEOUT: Duration = Duration::from_millis(2_600);
+const HOLD: Duration = Duration::from_millis(1_200);
+/// Time for a pull of a piece, with the wait at its source and the way on a busy link.
+const PULL_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Time for which other agents are waited for before the next source is asked: a version has 8 s
+/// to be served everywhere.
+const AGENTS_TIME: Duration = Duration::from_millis(3_500);
+/// Pause after a round that left pieces out.
+const ROUND_PAUSE: Duration = Duration::from_millis(200);
+/// Pause between two looks at the named version.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 /// Wait for digests at another agent before the origin is asked.
 const DIGESTS_TIMEOUT: Duration = Duration::from_millis(700);
 /// Number that stands for the digests where sources are ranked.
@@ -36,6 +47,8 @@
     pub vault: PieceVault,
     /// The fleet.
     pub view: SharedView,
+    /// State of the engine.
+    pub beat: EngineBeat,
     /// This agent.
     pub own: PieceAgent,
 }
@@ -44,12 +57,53 @@
 where
     Engine: EnginePort,
 {
-    /// Brings in what is missing of a version. Returns whether all is here.
-    pub async fn fetch(&self, plan: &LoadPlan) -> bool {
-        if !self.fetch_digests(plan).await {
-            return false;
+    /// Keeps the pieces of the named version here for good.
+    pub async fn run(self, service: ServiceId) {
+        loop {
+            let plan = self.view.borrow().plan(&service);
+            let Some(plan) = plan.filter(|plan| !self.vault.is_complete(plan.version)) else {
+                sleep(LOOK_INTERVAL).await;
+                continue;
+            };
+            if self.beat.state().is_none() && !self.is_held(&plan) {
+                // Its engine may have it staged.
+                sleep(LOOK_INTERVAL).await;
+                continue;
+            }
+            let newer = async {
+                while !self.is_outdated(&service, &plan) {
+                    sleep(LOOK_INTERVAL).await;
+                }
+            };
+            tokio::select! {
+                () = self.fetch(&plan) => {}
+                () = newer => log::info!(version = plan.version; "a newer version was named"),
+            }
+            self.vault.trim();
+            if !self.vault.is_complete(plan.version) {
+                sleep(ROUND_PAUSE).await;
+            }
         }
+    }
+
+    fn is_outdated(&self, service: &ServiceId, plan: &LoadPlan) -> bool {
+        let view = self.view.borrow();
+        view.plan(service).is_some_and(|now| now.version > plan.version)
+    }
+
+    /// Whether another agent holds the version.
+    fn is_held(&self, plan: &LoadPlan) -> bool {
+        let agents = self.view.borrow_mut().agents(Instant::now());
+        agents.iter().any(|agent| agent.holds == Some(plan.version))
+    }
+
+    /// Brings in what is missing of a version.
+    async fn fetch(&self, plan: &LoadPlan) {
         let started = Instant::now();
+        self.take_staged(plan).await;
+        if !self.fetch_digests(plan).await {
+            return;
+        }
         let missing = self.missing(plan);
         let total = missing.len();
         let mut waiting: VecDeque<u32> = missing.into();
@@ -59,7 +113,7 @@
             while running.len() < PARALLEL_PIECES
                 && let Some(piece) = waiting.pop_front()
             {
-                running.push(self.fetch_piece(plan, piece));
+                running.push(self.fetch_piece(plan, piece, started));
             }
             let Some((piece, found)) = running.next().await else {
                 break;
@@ -75,26 +129,29 @@
         let ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
         let version = plan.version;
         log::info!(version, total, from_origin, complete, ms; "pieces fetched");
-        complete
     }
 
+    /// Pieces that are missing: those that others wait for first, then in an order of this
+    /// agent's own, so that not all ask the same source at once.
     fn missing(&self, plan: &LoadPlan) -> Vec<u32> {
         let mut missing: Vec<u32> = self.vault.with(plan.version, |set| {
             let all = 0..plan.engine.pieces;
             all.filter(|piece| !set.pieces.contains_key(piece)).collect()
         });
-        // Pieces that others wait for come first.
         let agents = self.view.borrow_mut().agents(Instant::now());
-        missing.sort_by_key(|piece| {
-            let found = sources(&agents, &self.own, plan.version, *piece);
-            found.len()
+        let own = rank::seed(self.own.overlay.to_string().as_bytes());
+        missing.sort_by_cached_key(|piece| {
+            let (duty, _) = sources(&agents, &self.own, plan.version, *piece);
+            (duty, rank::mix(own, u64::from(*piece)))
         });
         missing
     }
 
     /// Takes what the engine's stage holds of the version, so that it need not be fetched.
-    pub async fn take_staged(&self, plan: &LoadPlan) {
-        if !self.fetch_digests(plan).await {
+    async fn take_staged(&self, plan: &LoadPlan) {
+        let held = self.beat.state().and_then(|state| state.report.weights);
+        let may_be_staged = held.is_none_or(|held| held == plan.version);
+        if !may_be_staged || !self.fetch_digests(plan).await {
             return;
         }
         for piece in 0..plan.engine.pieces {
@@ -116,7 +173,8 @@
             return true;
         }
         let agents = self.view.borrow_mut().agents(Instant::now());
-        for source in sources(&agents, &self.own, plan.version, DIGESTS_PIECE) {
+        let (_, found) = sources(&agents, &self.own, plan.version, DIGESTS_PIECE);
+        for source in found {
             let found = match &source {
                 PieceSource::Agent(peer) => self.pull_digests(*peer, plan).await,
                 PieceSource::Origin => self.origin_digests(plan).await,
@@ -163,11 +221,17 @@
         }
     }
 
-    async fn fetch_piece(&self, plan: &LoadPlan, piece: u32) -> (u32, Option<(Bytes, PieceSource)>) {
+    async fn fetch_piece(
+        &self,
+        plan: &LoadPlan,
+        piece: u32,
+        since: Instant,
+    ) -> (u32, Option<(Bytes, PieceSource)>) {
         let agents = self.view.borrow_mut().agents(Instant::now());
-        for source in sources(&agents, &self.own, plan.version, piece) {
+        let (_, found) = sources(&agents, &self.own, plan.version, piece);
+        for source in found {
             let found = match &source {
-                PieceSource::Agent(peer) => self.pull_piece(*peer, plan, piece).await,
+                PieceSource::Agent(peer) => self.await_piece(*peer, plan, piece, since).await,
                 PieceSource::Origin => self.origin_piece(plan, piece).await,
             };
             let Some(data) = found else {
@@ -189,17 +253,28 @@
         (piece, None)
     }
 
-    async fn pull_piece(&self, peer: SocketAddr, plan: &LoadPlan, piece: u32) -> Option<Bytes> {
-        let wish = PullWish::Piece(PieceWish {
-            model: plan.model.clone(),
-            version: plan.version,
-            piece,
-        });
-        match overlay::pull(peer, wish, PULL_TIMEOUT).await {
-            Ok(answer) => answer.found.then_some(answer.data),
-            Err(err) => {
-                log::info!(peer:%, piece, err:%; "piece not pulled");
-                None
+    /// Asks an agent until it has the piece, while there is time.
+    async fn await_piece(
+        &self,
+        peer: SocketAddr,
+        plan: &LoadPlan,
+        piece: u32,
+        since: Instant,
+    ) -> Option<Bytes> {
+        loop {
+            let wish = PullWish::Piece(PieceWish {
+                model: plan.model.clone(),
+                version: plan.version,
+                piece,
+            });
+            match overlay::pull(peer, wish, PULL_TIMEOUT).await {
+                Ok(answer) if answer.found => return Some(answer.data),
+                Ok(_) if since.elapsed() < AGENTS_TIME => {}
+                Ok(_) => return None,
+                Err(err) => {
+                    log::info!(peer:%, piece, err:%; "piece not pulled");
+                    return None;
+                }
             }
         }
     }
--- a/crates/agatepin/src/loader/swap.rs
+++ b/crates/agatepin/src/loader/swap.rs
@@ -41,23 +41,19 @@
 where
     Engine: EnginePort,
 {
-    /// Keeps the engine at the named version for good.
+    /// Keeps the engine at the newest version that is here completely, for good.
     pub async fn run(self) {
-        // Start of the engine whose stage was read: a loss of power empties the stage.
-        let mut staged_read = None;
         loop {
             sleep(LOOK_INTERVAL).await;
-            let Some(plan) = self.fetcher.view.borrow().plan(&self.service) else {
+            let plan = self.fetcher.view.borrow().plan(&self.service);
+            let Some(mut plan) = plan else {
                 continue;
             };
-            let Some(state) = self.beat.state() else {
+            let Some(complete) = self.fetcher.vault.newest_complete() else {
                 continue;
             };
-            if staged_read != Some(state.born) {
-                self.fetcher.take_staged(&plan).await;
-                staged_read = Some(state.born);
-            }
-            if self.holds(plan.version) {
+            plan.version = plan.version.min(complete);
+            if self.beat.state().is_none() || self.holds(plan.version) {
                 continue;
             }
             if let Err(err) = self.bring(&plan).await {
@@ -76,11 +72,6 @@
     }
 
     async fn bring(&self, plan: &LoadPlan) -> Result<()> {
-        let fetched = self.fetcher.fetch(plan).await;
-        self.fetcher.vault.trim();
-        if !fetched {
-            return Err(eyre!("pieces are missing"));
-        }
         let state = self.beat.state().ok_or_else(|| eyre!("the engine does not answer"))?;
         if state.report.busy {
             return Err(eyre!("the engine is busy with an order"));
@@ -89,9 +80,6 @@
         if state.report.weights.is_some() {
             sleep(self.wave_delay()).await;
         }
-        if self.is_outdated(plan) {
-            return Err(eyre!("a newer version was named"));
-        }
         self.swapping.set(true);
         self.stage(plan).await?;
         let state = self.beat.state().ok_or_else(|| eyre!("the engine does not answer"))?;
@@ -102,11 +90,6 @@
         self.await_load(version).await
     }
 
-    fn is_outdated(&self, plan: &LoadPlan) -> bool {
-        let view = self.fetcher.view.borrow();
-        view.plan(&self.service).is_some_and(|now| now.version > plan.version)
-    }
-
     fn wave_delay(&self) -> Duration {
         let mut view = self.fetcher.view.borrow_mut();
         let agents = view.agents(Instant::now());
--- a/crates/core/src/relay/chooser.rs
+++ b/crates/core/src/relay/chooser.rs
@@ -11,9 +11,9 @@
 /// 8 s; the rest covers requests that wait at an engine.
 pub const CUT_OVER: Duration = Duration::from_millis(6_500);
 /// Load of an upstream in another data centre is taken for this many requests higher.
-const FAR_PENALTY: f64 = 0.75;
+const FAR_PENALTY: f64 = 1.0;
 /// Load of an upstream in another region is taken for this many requests higher.
-const FAR_REGION_PENALTY: f64 = 1.5;
+const FAR_REGION_PENALTY: f64 = 3.0;
 /// Requests that an engine may hold beyond its slots.
 const ENGINE_QUEUE: u32 = 2;
 /// Requests that a plain upstream may hold beyond its slots.
--- a/crates/core/src/relay/sources.rs
+++ b/crates/core/src/relay/sources.rs
@@ -1,10 +1,10 @@
 //! Where an agent gets a piece of weights: each piece has one importer a region and one fetcher
 //! at the origin, so that a version leaves the origin about once.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use crate::ids::RegionId;
-use crate::rank;
 use crate::relay::catalog::WeightsNumber;
 
 value_type! {
@@ -27,56 +27,80 @@
     }
 }
 
-/// Sources of a piece for the agent at `own`, best first; the origin comes last.
+key_type! {
+    /// What an agent does for a piece; those that others wait for come first.
+    pub enum PieceDuty {
+        /// It fetches the piece from the origin for the fleet.
+        Fetch,
+        /// It imports the piece for its region.
+        Import,
+        /// It only needs the piece itself.
+        Take,
+    }
+}
+
+/// What the agent `own` does for a piece, and its sources, best first; the origin comes last.
 ///
 /// Agents of the same region that hold the version come first, then the importer of the region,
-/// then holders elsewhere and the fetcher of the fleet.
+/// then a holder elsewhere and the fetcher of the fleet. Behind the first of each role stands the
+/// next in rank, for where it fails. Roles go round the agents in the order of their addresses,
+/// so that each has an equal part.
 #[must_use]
 pub fn sources(
     agents: &[PieceAgent],
     own: &PieceAgent,
     version: WeightsNumber,
     piece: u32,
-) -> Vec<PieceSource> {
-    let key = rank::seed(format!("{version}/{piece}").as_bytes());
-    let mut ranked: Vec<(u64, &PieceAgent)> = agents
-        .iter()
-        .filter(|agent| agent.overlay != own.overlay)
-        .chain(std::iter::once(own))
-        .map(|agent| (score(key, agent), agent))
-        .collect();
-    ranked.sort_unstable_by_key(|(score, _)| std::cmp::Reverse(*score));
-    let own_score = score(key, own);
-    let mut found = Vec::new();
-    let mut add = |agent: &PieceAgent| {
-        let source = PieceSource::Agent(agent.overlay);
-        if agent.overlay != own.overlay && !found.contains(&source) {
-            found.push(source);
-        }
+) -> (PieceDuty, Vec<PieceSource>) {
+    let mut regions: BTreeMap<&RegionId, Vec<&PieceAgent>> = BTreeMap::new();
+    let others = agents.iter().filter(|agent| agent.overlay != own.overlay);
+    for agent in others.chain(std::iter::once(own)) {
+        regions.entry(&agent.region).or_default().push(agent);
+    }
+    for agents in regions.values_mut() {
+        agents.sort_unstable_by_key(|agent| agent.overlay);
+    }
+    let (piece, turn) = (piece as usize, usize::try_from(version).unwrap_or(0));
+    let round = piece / regions.len() + turn;
+    let home = (piece + turn) % regions.len();
+    let ranked = |agents: &[&PieceAgent]| -> Vec<SocketAddr> {
+        let order = agents.iter().cycle().skip(round % agents.len());
+        order.take(agents.len()).map(|agent| agent.overlay).collect()
     };
-    let near = |agent: &&PieceAgent| agent.region == own.region;
-    let holds = |agent: &&PieceAgent| agent.holds == Some(version);
-    let all = || ranked.iter().map(|(_, agent)| *agent);
-    let holders_near = all().filter(near).filter(holds).take(2);
-    holders_near.for_each(&mut add);
-    let importer = all().find(near);
-    if let Some(importer) = importer
-        && score(key, importer) > own_score
-    {
-        add(importer);
+    let importers = ranked(&regions[&own.region]);
+    let fetchers = regions.values().nth(home).map(|agents| ranked(agents));
+    let fetchers = fetchers.unwrap_or_default();
+    let holders = |near: bool| -> Vec<SocketAddr> {
+        let all = agents.iter().filter(|agent| agent.holds == Some(version));
+        let wanted = all.filter(|agent| (agent.region == own.region) == near);
+        let mut found: Vec<SocketAddr> = wanted.map(|agent| agent.overlay).collect();
+        found.sort_unstable();
+        let skip = round % found.len().max(1);
+        found.rotate_left(skip);
+        found
+    };
+    let is_importer = importers.first() == Some(&own.overlay);
+    let is_fetcher = fetchers.first() == Some(&own.overlay);
+    let held = agents.iter().any(|agent| agent.holds == Some(version));
+    let duty = match (is_fetcher && !held, is_importer) {
+        (true, _) => PieceDuty::Fetch,
+        (false, true) => PieceDuty::Import,
+        (false, false) => PieceDuty::Take,
+    };
+    let mut order: Vec<SocketAddr> = holders(true).into_iter().take(2).collect();
+    if is_importer {
+        order.extend(holders(false).into_iter().take(1));
+        order.extend(fetchers.into_iter().take_while(|agent| *agent != own.overlay).take(2));
     } else {
-        all().filter(holds).take(1).for_each(&mut add);
-        let fetcher = all().next();
-        if let Some(fetcher) = fetcher
-            && score(key, fetcher) > own_score
-        {
-            add(fetcher);
+        order.extend(importers.into_iter().take_while(|agent| *agent != own.overlay).take(2));
+    }
+    let mut found: Vec<PieceSource> = Vec::new();
+    for agent in order {
+        let source = PieceSource::Agent(agent);
+        if agent != own.overlay && !found.contains(&source) {
+            found.push(source);
         }
     }
     found.push(PieceSource::Origin);
-    found
-}
-
-fn score(key: u64, agent: &PieceAgent) -> u64 {
-    rank::mix(key, rank::seed(agent.overlay.to_string().as_bytes()))
+    (duty, found)
 }
