--- a/crates/agatepin/src/loader/daemon.rs
+++ b/crates/agatepin/src/loader/daemon.rs
@@ -11,11 +11,11 @@
 use tokio::time::sleep;
 
 use crate::loader::beat::{BeatTeller, EngineBeat};
-use crate::loader::pieces::{self, PieceFetcher};
+use crate::loader::pieces::{PieceFetcher, PieceGiver};
 use crate::loader::swap::{SwapFlag, WeightSwapper};
 use crate::loader::vault::PieceVault;
 use crate::loader::view::{self, SharedView};
-use crate::relay::overlay::{self, Datagram, DatagramBody};
+use crate::relay::overlay::{Datagram, DatagramBody};
 use crate::relay::ports::{EnginePort, TableStore, WireDialect};
 
 /// Largest datagram, in bytes.
@@ -64,7 +64,7 @@
     let listener = TcpListener::bind(options.overlay).await.wrap_err_with(bind)?;
     let socket = UdpSocket::bind(options.overlay).await.wrap_err_with(bind)?;
     let socket = Rc::new(socket);
-    actix_rt::spawn(serve_pieces(listener, vault.clone()));
+    actix_rt::spawn(serve_pieces(listener, PieceGiver::new(vault.clone())));
     actix_rt::spawn(hear(socket.clone(), view.clone()));
     let port = options.overlay.port();
     actix_rt::spawn(watch_store(view.clone(), store, dialect, port));
@@ -102,7 +102,7 @@
     Ok(())
 }
 
-async fn serve_pieces(listener: TcpListener, vault: PieceVault) {
+async fn serve_pieces(listener: TcpListener, giver: PieceGiver) {
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -112,10 +112,9 @@
                 continue;
             }
         };
-        let vault = vault.clone();
+        let giver = giver.clone();
         actix_rt::spawn(async move {
-            let answer = overlay::answer_pull(stream, |wish| pieces::answer(vault, wish));
-            if let Err(err) = answer.await {
+            if let Err(err) = giver.serve(stream).await {
                 log::debug!("pull of a piece ended: {err}");
             }
         });
--- a/crates/agatepin/src/loader/pieces.rs
+++ b/crates/agatepin/src/loader/pieces.rs
@@ -3,15 +3,20 @@
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use agatepin_core::ids::ServiceId;
 use agatepin_core::rank;
 use agatepin_core::relay::sources::{PieceAgent, PieceSource, sources};
 use bytes::Bytes;
+use eyre::Result;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use tokio::time::sleep;
+use socket2::SockRef;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::time::{sleep, timeout};
 
 use crate::loader::beat::EngineBeat;
 use crate::loader::vault::PieceVault;
@@ -19,10 +24,13 @@
 use crate::relay::overlay::{self, DigestsWish, PieceWish, PullAnswer, PullWish};
 use crate::relay::ports::{EnginePort, PieceDigests};
 
-/// Pieces that are fetched at a time: they share the link of the agent's machine.
+/// Pieces that are asked for at a time. Requests to the engine come over the same link, and wait
+/// behind them.
 const PARALLEL_PIECES: usize = 8;
+/// Pieces that are given away at a time: events of the engine's streams wait behind them.
+const PARALLEL_UPLOADS: usize = 4;
 /// Time for which an agent that is asked waits until it has a piece itself.
-const HOLD: Duration = Duration::from_millis(1_200);
+const HOLD: Duration = Duration::from_millis(150);
 /// Time for a pull of a piece, with the wait at its source and the way on a busy link.
 const PULL_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Time for which other agents are waited for before the next source is asked: a version has 8 s
@@ -38,6 +46,16 @@
 const DIGESTS_PIECE: u32 = u32::MAX;
 const DIGEST_BYTES: usize = 32;
 
+/// What became of a piece that was asked for.
+enum PieceFound {
+    /// It is here.
+    Data(Bytes, PieceSource),
+    /// Its source does not have it yet.
+    NotYet,
+    /// No source gave it.
+    Nowhere,
+}
+
 /// Fetches pieces for one agent.
 #[derive(Clone)]
 pub struct PieceFetcher<Engine> {
@@ -100,10 +118,10 @@
     /// Brings in what is missing of a version.
     async fn fetch(&self, plan: &LoadPlan) {
         let started = Instant::now();
-        self.take_staged(plan).await;
         if !self.fetch_digests(plan).await {
             return;
         }
+        self.take_staged(plan).await;
         let missing = self.missing(plan);
         let total = missing.len();
         let mut waiting: VecDeque<u32> = missing.into();
@@ -118,12 +136,16 @@
             let Some((piece, found)) = running.next().await else {
                 break;
             };
-            let Some((data, source)) = found else {
-                log::warn!(version = plan.version, piece; "no source has this piece");
-                continue;
-            };
-            from_origin += usize::from(source == PieceSource::Origin);
-            self.vault.with(plan.version, |set| set.pieces.insert(piece, data));
+            match found {
+                PieceFound::Data(data, source) => {
+                    from_origin += usize::from(source == PieceSource::Origin);
+                    self.vault.with(plan.version, |set| set.pieces.insert(piece, data));
+                }
+                PieceFound::NotYet => waiting.push_back(piece),
+                PieceFound::Nowhere => {
+                    log::warn!(version = plan.version, piece; "no source has this piece");
+                }
+            }
         }
         let complete = self.vault.is_complete(plan.version);
         let ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
@@ -151,7 +173,7 @@
     async fn take_staged(&self, plan: &LoadPlan) {
         let held = self.beat.state().and_then(|state| state.report.weights);
         let may_be_staged = held.is_none_or(|held| held == plan.version);
-        if !may_be_staged || !self.fetch_digests(plan).await {
+        if !may_be_staged {
             return;
         }
         for piece in 0..plan.engine.pieces {
@@ -226,19 +248,29 @@
         plan: &LoadPlan,
         piece: u32,
         since: Instant,
-    ) -> (u32, Option<(Bytes, PieceSource)>) {
+    ) -> (u32, PieceFound) {
         let agents = self.view.borrow_mut().agents(Instant::now());
         let (_, found) = sources(&agents, &self.own, plan.version, piece);
         for source in found {
-            let found = match &source {
-                PieceSource::Agent(peer) => self.await_piece(*peer, plan, piece, since).await,
-                PieceSource::Origin => self.origin_piece(plan, piece).await,
-            };
-            let Some(data) = found else {
-                continue;
+            let data = match &source {
+                PieceSource::Agent(peer) => match self.pull_piece(*peer, plan, piece).await {
+                    Ok(Some(data)) => data,
+                    Ok(None) if since.elapsed() < AGENTS_TIME => {
+                        return (piece, PieceFound::NotYet);
+                    }
+                    Ok(None) => continue,
+                    Err(err) => {
+                        log::info!(peer:%, piece, err:%; "piece not pulled");
+                        continue;
+                    }
+                },
+                PieceSource::Origin => match self.origin_piece(plan, piece).await {
+                    Some(data) => data,
+                    None => continue,
+                },
             };
             if self.vault.with(plan.version, |set| set.matches(piece, &data)) {
-                return (piece, Some((data, source)));
+                return (piece, PieceFound::Data(data, source));
             }
             log::warn!(piece, version = plan.version, source:?; "piece does not match its digest");
             if source == PieceSource::Origin {
@@ -250,33 +282,22 @@
                 });
             }
         }
-        (piece, None)
+        (piece, PieceFound::Nowhere)
     }
 
-    /// Asks an agent until it has the piece, while there is time.
-    async fn await_piece(
+    async fn pull_piece(
         &self,
         peer: SocketAddr,
         plan: &LoadPlan,
         piece: u32,
-        since: Instant,
-    ) -> Option<Bytes> {
-        loop {
-            let wish = PullWish::Piece(PieceWish {
-                model: plan.model.clone(),
-                version: plan.version,
-                piece,
-            });
-            match overlay::pull(peer, wish, PULL_TIMEOUT).await {
-                Ok(answer) if answer.found => return Some(answer.data),
-                Ok(_) if since.elapsed() < AGENTS_TIME => {}
-                Ok(_) => return None,
-                Err(err) => {
-                    log::info!(peer:%, piece, err:%; "piece not pulled");
-                    return None;
-                }
-            }
-        }
+    ) -> Result<Option<Bytes>> {
+        let wish = PullWish::Piece(PieceWish {
+            model: plan.model.clone(),
+            version: plan.version,
+            piece,
+        });
+        let answer = overlay::pull(peer, wish, PULL_TIMEOUT).await?;
+        Ok(answer.found.then_some(answer.data))
     }
 
     async fn origin_piece(&self, plan: &LoadPlan, piece: u32) -> Option<Bytes> {
@@ -292,20 +313,51 @@
     }
 }
 
-/// Answers another agent's pull.
-pub async fn answer(vault: PieceVault, wish: PullWish) -> PullAnswer {
-    let data = match wish {
-        PullWish::Piece(wish) => vault.piece(wish.version, wish.piece, HOLD).await,
-        PullWish::Digests(wish) => {
-            let digests = vault.digests(wish.version, DIGESTS_TIMEOUT / 2).await;
-            digests.map(|digests| Bytes::from(digests.digests.concat()))
+/// Gives pieces to other agents.
+#[derive(Clone)]
+pub struct PieceGiver {
+    vault: PieceVault,
+    uploads: Rc<Semaphore>,
+}
+
+impl PieceGiver {
+    /// A giver of what is in `vault`.
+    #[must_use]
+    pub fn new(vault: PieceVault) -> Self {
+        Self {
+            vault,
+            uploads: Rc::new(Semaphore::new(PARALLEL_UPLOADS)),
         }
-        PullWish::Rows(_) => None,
-    };
-    let found = data.is_some();
-    PullAnswer {
-        found,
-        data: data.unwrap_or_default(),
-        ..PullAnswer::default()
+    }
+
+    /// Answers one pull.
+    ///
+    /// # Errors
+    /// The connection breaks or carries something else.
+    pub async fn serve(self, stream: TcpStream) -> Result<()> {
+        let buffer = overlay::PULL_BUFFER_BYTES as usize;
+        SockRef::from(&stream).set_send_buffer_size(buffer)?;
+        let mut connection = overlay::frames(stream);
+        let data = match overlay::read_wish(&mut connection).await? {
+            PullWish::Piece(wish) => self.vault.piece(wish.version, wish.piece, HOLD).await,
+            PullWish::Digests(wish) => {
+                let digests = self.vault.digests(wish.version, DIGESTS_TIMEOUT / 2).await;
+                digests.map(|digests| Bytes::from(digests.digests.concat()))
+            }
+            PullWish::Rows(_) => None,
+        };
+        let Some(data) = data else {
+            return overlay::write_answer(&mut connection, &PullAnswer::default()).await;
+        };
+        let answer = PullAnswer {
+            found: true,
+            data,
+            ..PullAnswer::default()
+        };
+        let _upload = self.uploads.acquire().await?;
+        overlay::write_answer(&mut connection, &answer).await?;
+        // The other side closes once it has all; until then the link is busy with this piece.
+        let _ = timeout(PULL_TIMEOUT, connection.next()).await;
+        Ok(())
     }
 }
--- a/crates/agatepin/src/relay/admit.rs
+++ b/crates/agatepin/src/relay/admit.rs
@@ -89,7 +89,7 @@
         service: wish.service,
         homes: [&wish.route.home_regions, wish.homes],
         tried: wish.tried,
-        weights: model.and_then(|model| fleet.weights.get(model).copied()),
+        weights: model.and_then(|model| fleet.weights.get(model)?.required(now)),
         engine: service.engine.is_some(),
         cold_per_second: service.cold_per_second,
     };
--- a/crates/agatepin/src/relay/daemon.rs
+++ b/crates/agatepin/src/relay/daemon.rs
@@ -12,7 +12,7 @@
 use agatepin_core::relay::share::RetryAllowance;
 use eyre::{Result, WrapErr};
 use prost::Message;
-use tokio::net::{TcpListener, UdpSocket};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -223,14 +223,19 @@
         };
         let rows = rows.clone();
         actix_rt::spawn(async move {
-            let answer = overlay::answer_pull(stream, |wish| async move { rows_for(&rows, &wish) });
-            if let Err(err) = answer.await {
+            if let Err(err) = give_rows(stream, &rows).await {
                 log::debug!("pull of rows ended: {err}");
             }
         });
     }
 }
 
+async fn give_rows(stream: TcpStream, rows: &SharedRows) -> Result<()> {
+    let mut connection = overlay::frames(stream);
+    let wish = overlay::read_wish(&mut connection).await?;
+    overlay::write_answer(&mut connection, &rows_for(rows, &wish)).await
+}
+
 fn rows_for(rows: &SharedRows, wish: &PullWish) -> PullAnswer {
     let PullWish::Rows(wish) = wish else {
         return PullAnswer::default();
@@ -274,6 +279,10 @@
     };
     fleet.with(|fleet| {
         fleet.entries.heard(&hello.name, listing, hello.ready, now);
+        for named in hello.weights {
+            let age = Duration::from_millis(named.age_ms);
+            fleet.learn_weights(&named.model, named.version, age, now);
+        }
         for news in hello.suspects {
             let Some(digest) = ContentDigest::from_slice(&news.digest) else {
                 continue;
@@ -348,9 +357,12 @@
             fleet.agents.retain(|_, agent| {
                 now.saturating_duration_since(agent.heard) < AGENT_SILENCE
             });
-            let weights = fleet.weights.iter().map(|(model, target)| NamedWeights {
-                model: model.clone(),
-                version: target.version,
+            let named = fleet.weights.iter().flat_map(|(model, schedule)| {
+                schedule.named(now).map(|(version, age)| NamedWeights {
+                    model: model.clone(),
+                    version,
+                    age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+                })
             });
             let agents = fleet.agents.iter().map(|(overlay, agent)| KnownAgent {
                 overlay: overlay.to_string(),
@@ -367,7 +379,7 @@
                 name: self.name.clone(),
                 incarnation: self.own.incarnation,
                 ready,
-                weights: weights.collect(),
+                weights: named.collect(),
                 agents: agents.collect(),
                 suspects: suspects.collect(),
                 front: self.own.front.to_string(),
--- a/crates/agatepin/src/relay/fleet.rs
+++ b/crates/agatepin/src/relay/fleet.rs
@@ -10,8 +10,8 @@
 use agatepin_core::poison::SuspectTracker;
 use agatepin_core::relay::book::UpstreamBook;
 use agatepin_core::relay::catalog::{RouteCatalog, WeightsNumber};
-use agatepin_core::relay::chooser::WeightsTarget;
 use agatepin_core::relay::liveness::EntryDirectory;
+use agatepin_core::relay::schedule::WeightsSchedule;
 use agatepin_core::relay::share::{ColdShare, RetryAllowance, RetryShare};
 use tokio::sync::Notify;
 
@@ -41,7 +41,7 @@
     /// The list of upstreams has been read.
     pub listed: bool,
     /// Weights that operators named.
-    pub weights: BTreeMap<ModelId, WeightsTarget>,
+    pub weights: BTreeMap<ModelId, WeightsSchedule>,
     /// Entries.
     pub entries: EntryDirectory,
     /// Agents by overlay address.
@@ -128,7 +128,9 @@
                 log::info!(data_centre; "data centre back");
                 self.book.evacuate(&data_centre, false);
             }
-            FleetFact::Weights { model, version } => self.learn_weights(&model, version, now),
+            FleetFact::Weights { model, version } => {
+                self.learn_weights(&model, version, Duration::ZERO, now);
+            }
             FleetFact::Ignored => {}
         }
     }
@@ -143,17 +145,18 @@
         self.catalog = Some(Rc::new(catalog));
     }
 
-    fn learn_weights(&mut self, model: &str, version: WeightsNumber, now: Instant) {
-        let known = self.weights.get(model);
-        if known.is_some_and(|target| target.version >= version) {
-            return;
+    /// Takes that `version` of a model was named `age` ago.
+    pub fn learn_weights(
+        &mut self,
+        model: &str,
+        version: WeightsNumber,
+        age: Duration,
+        now: Instant,
+    ) {
+        let schedule = self.weights.entry(model.to_owned()).or_default();
+        if schedule.name(version, age, now) {
+            log::info!(model, version; "weights named");
         }
-        log::info!(model, version; "weights named");
-        let target = WeightsTarget {
-            version,
-            since: now,
-        };
-        self.weights.insert(model.to_owned(), target);
     }
 
     /// Counts a request's first send to `service`.
--- a/crates/agatepin/src/relay/overlay.rs
+++ b/crates/agatepin/src/relay/overlay.rs
@@ -12,7 +12,7 @@
 use futures_util::{SinkExt, StreamExt};
 use prost::Message;
 use serde::{Deserialize, Serialize};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
@@ -22,6 +22,9 @@
 const MAX_FRAME_BYTES: usize = 8 * 1024 * 1024;
 /// Time for a connection to another daemon: one lost packet and the longest way.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Buffers of a connection for pulls: enough to fill a machine's link, and so small that what
+/// else uses the link does not wait long behind it.
+pub const PULL_BUFFER_BYTES: u32 = 16 * 1024;
 /// Time for a pull of rows.
 const ROWS_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -102,6 +105,9 @@
     /// Version.
     #[prost(uint64, tag = "2")]
     pub version: u64,
+    /// Milliseconds since it was named, as far as the entry knows.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
 }
 
 /// An agent as an entry knows it.
@@ -368,7 +374,9 @@
 /// There is no answer within `total`, or it is broken.
 pub async fn pull(peer: SocketAddr, wish: PullWish, total: Duration) -> Result<PullAnswer> {
     let exchange = async {
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(peer)).await??;
+        let socket = TcpSocket::new_v4()?;
+        socket.set_recv_buffer_size(PULL_BUFFER_BYTES)?;
+        let stream = timeout(CONNECT_TIMEOUT, socket.connect(peer)).await??;
         let mut connection = frames(stream);
         let request = PullRequest { wish: Some(wish) };
         connection.send(Bytes::from(request.encode_to_vec())).await?;
@@ -398,21 +406,22 @@
     }
 }
 
-/// Takes one request from a connection and answers it.
+/// Reads what the other side of a connection pulls.
 ///
 /// # Errors
 /// The connection breaks or carries something else.
-pub async fn answer_pull<Answer, Answering>(stream: TcpStream, answer: Answer) -> Result<()>
-where
-    Answer: FnOnce(PullWish) -> Answering,
-    Answering: Future<Output = PullAnswer>,
-{
-    let mut connection = frames(stream);
+pub async fn read_wish(connection: &mut PullConnection) -> Result<PullWish> {
     let frame = timeout(ROWS_TIMEOUT, connection.next()).await?;
     let frame = frame.ok_or_else(|| eyre!("closed without a request"))??;
     let request = PullRequest::decode(frame.freeze())?;
-    let wish = request.wish.ok_or_else(|| eyre!("a pull without a wish"))?;
-    let reply = answer(wish).await;
-    connection.send(Bytes::from(reply.encode_to_vec())).await?;
+    request.wish.ok_or_else(|| eyre!("a pull without a wish"))
+}
+
+/// Writes the answer to a pull.
+///
+/// # Errors
+/// The connection breaks.
+pub async fn write_answer(connection: &mut PullConnection, answer: &PullAnswer) -> Result<()> {
+    connection.send(Bytes::from(answer.encode_to_vec())).await?;
     Ok(())
 }
--- a/crates/agatepin/src/relay/send.rs
+++ b/crates/agatepin/src/relay/send.rs
@@ -3,9 +3,8 @@
 use std::time::{Duration, Instant};
 
 use agatepin_core::ids::UpstreamId;
-use agatepin_core::relay::book::SendOutcome;
+use agatepin_core::relay::book::{SendOutcome, UpstreamState};
 use agatepin_core::relay::catalog::WeightsNumber;
-use agatepin_core::relay::chooser::CUT_OVER;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -13,7 +12,7 @@
 use hyper::{Request, Response, StatusCode};
 use tokio::time::timeout;
 
-use crate::relay::fleet::FleetHandle;
+use crate::relay::fleet::{FleetHandle, FleetState};
 use crate::relay::http_client::{self, ConnectionGuard, ExchangeError};
 use crate::relay::ports::{AnswerHead, SendHead, WireDialect};
 
@@ -123,7 +122,7 @@
     let upstream = place.upstream.clone();
     let found = fleet.with(|fleet| {
         let state = fleet.book.get(&upstream)?;
-        Some((state.listing.address, wanted_weights(fleet, &state.listing.service, now)))
+        Some((state.listing.address, wanted_weights(fleet, state, now)))
     });
     let Some((address, weights)) = found else {
         return Err(SendFailure::Unreachable);
@@ -191,15 +190,11 @@
     SendFailure::Unreachable
 }
 
-/// Weights that an upstream must hold: the named ones, once all engines had time to load them.
-fn wanted_weights(
-    fleet: &crate::relay::fleet::FleetState,
-    service: &str,
-    now: Instant,
-) -> Option<WeightsNumber> {
+/// Weights that an upstream is to confirm: those that it is believed to hold, once older ones may
+/// no longer serve.
+fn wanted_weights(fleet: &FleetState, state: &UpstreamState, now: Instant) -> Option<WeightsNumber> {
     let catalog = fleet.catalog.as_ref()?;
-    let engine = catalog.service(service)?.engine.as_ref()?;
-    let target = fleet.weights.get(&engine.model)?;
-    let due = now.saturating_duration_since(target.since) >= CUT_OVER;
-    due.then_some(target.version)
+    let engine = catalog.service(&state.listing.service)?.engine.as_ref()?;
+    fleet.weights.get(&engine.model)?.required(now)?;
+    state.weights(now)
 }
--- a/crates/core/src/relay/chooser.rs
+++ b/crates/core/src/relay/chooser.rs
@@ -1,15 +1,12 @@
 //! Which upstream gets a request.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use crate::ids::{RegionId, UpstreamId};
 use crate::relay::book::{UpstreamBook, UpstreamState};
 use crate::relay::catalog::WeightsNumber;
 use crate::relay::share::ColdShare;
 
-/// Time from the naming of new weights after which only they are asked for. The platform allows
-/// 8 s; the rest covers requests that wait at an engine.
-pub const CUT_OVER: Duration = Duration::from_millis(6_500);
 /// Load of an upstream in another data centre is taken for this many requests higher.
 const FAR_PENALTY: f64 = 1.0;
 /// Load of an upstream in another region is taken for this many requests higher.
@@ -20,15 +17,6 @@
 const PLAIN_QUEUE: u32 = 2;
 
 value_type! {
-    /// New weights that operators named.
-    #[derive(Copy)]
-    pub struct WeightsTarget {
-        /// Version.
-        pub version: WeightsNumber,
-        /// When this entry learnt of it.
-        pub since: Instant,
-    }
-
     /// What a request asks of its upstream.
     pub struct UpstreamWish<'call> {
         /// Service.
@@ -37,8 +25,8 @@
         pub homes: [&'call [RegionId]; 2],
         /// Upstreams that have been tried.
         pub tried: &'call [UpstreamId],
-        /// Weights that are wanted; none for plain services.
-        pub weights: Option<WeightsTarget>,
+        /// Oldest weights that may serve it; any where none are given.
+        pub weights: Option<WeightsNumber>,
         /// Its service has engines.
         pub engine: bool,
         /// Requests a second that a cold upstream bears; 0 where not limited.
@@ -125,10 +113,7 @@
     let Some(held) = state.weights(now) else {
         return false;
     };
-    let Some(target) = wish.weights else {
-        return true;
-    };
-    held >= target.version || now.saturating_duration_since(target.since) < CUT_OVER
+    wish.weights.is_none_or(|oldest| held >= oldest)
 }
 
 /// Load up to which this entry sends more. With a fresh report the load is that of all entries;
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -7,5 +7,6 @@
 pub mod events;
 pub mod liveness;
 pub mod rollout;
+pub mod schedule;
 pub mod share;
 pub mod sources;
