--- a/crates/agatepin/src/relay/admit.rs
+++ b/crates/agatepin/src/relay/admit.rs
@@ -15,6 +15,8 @@
 const WAIT_PART: u32 = 8;
 /// Taken off that part for the way back to the caller.
 const WAIT_MARGIN: Duration = Duration::from_millis(8);
+/// Time of the ways between caller, entry and engine, taken off the objective.
+const WAY_BACK: Duration = Duration::from_millis(15);
 /// Time after which a waiting request looks again where nobody woke it.
 const LOOK_AGAIN: Duration = Duration::from_millis(10);
 
@@ -40,6 +42,8 @@
     pub homes: &'call [RegionId],
     /// Upstreams that it was sent to.
     pub tried: &'call [UpstreamId],
+    /// Prompt tokens.
+    pub tokens: u32,
     /// When it came.
     pub started: Instant,
 }
@@ -90,7 +94,9 @@
         homes: [&wish.route.home_regions, wish.homes],
         tried: wish.tried,
         weights: model.and_then(|model| fleet.weights.get(model)?.required(now)),
-        engine: service.engine.is_some(),
+        engine: service.engine.as_ref(),
+        tokens: wish.tokens,
+        first_event: wish.route.objective.saturating_sub(wish.started.elapsed() + WAY_BACK),
         cold_per_second: service.cold_per_second,
     };
     let chooser_place = ChooserPlace {
@@ -111,7 +117,7 @@
         if cold && service.cold_per_second > 0 {
             fleet.cold.take(id, service.cold_per_second, entries, now);
         }
-        fleet.book.begin(id);
+        fleet.book.begin(id, wish.tokens);
     }
     choice
 }
--- a/crates/agatepin/src/relay/call.rs
+++ b/crates/agatepin/src/relay/call.rs
@@ -61,6 +61,8 @@
     pub started: Instant,
     /// Last event that its caller has.
     pub last_event: Option<u64>,
+    /// Prompt tokens.
+    pub tokens: u32,
     suspect: SuspectKey,
 }
 
@@ -166,6 +168,7 @@
             route,
             started,
             last_event: head.last_event,
+            tokens: head.prompt_tokens,
             suspect,
         };
         self.serve(call, line).await
@@ -237,6 +240,7 @@
             service: &call.service,
             homes: &call.homes,
             tried,
+            tokens: call.tokens,
             started: if tried.is_empty() { call.started } else { Instant::now() },
         };
         let left = call.request.deadline.saturating_duration_since(Instant::now());
@@ -244,7 +248,8 @@
             return Err(RefusalReason::TimeUpUnsent);
         }
         let upstream = admit(&self.fleet, &self.place, &wish).await?;
-        Ok(PlaceGuard::new(self.fleet.clone(), upstream))
+        self.fleet.untold.set(true);
+        Ok(PlaceGuard::new(self.fleet.clone(), upstream, call.tokens))
     }
 
     async fn send(&self, call: &CallState, place: PlaceGuard) -> Result<OpenAnswer, SendFailure> {
--- a/crates/agatepin/src/relay/daemon.rs
+++ b/crates/agatepin/src/relay/daemon.rs
@@ -1,13 +1,13 @@
 //! The entry on the direct path: its sockets, tasks and its graceful shutdown.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use agatepin_core::ids::ContentDigest;
 use agatepin_core::poison::SuspectKey;
-use agatepin_core::relay::book::EngineReport;
+use agatepin_core::relay::book::{EngineReport, EntryLoad};
 use agatepin_core::relay::liveness::EntryListing;
 use agatepin_core::relay::share::RetryAllowance;
 use eyre::{Result, WrapErr};
@@ -22,14 +22,18 @@
 use crate::relay::fleet::{AgentState, FleetHandle};
 use crate::relay::mirror::{self, SharedRows, TableMirror};
 use crate::relay::overlay::{
-    self, Datagram, DatagramBody, EngineLoad, EntryHello, EntryRow, KnownAgent, NamedWeights,
-    PullAnswer, PullWish, SuspectNews,
+    self, Datagram, DatagramBody, EngineLoad, EntryHello, EntryRequests, EntryRow, KnownAgent,
+    NamedWeights, PullAnswer, PullWish, SuspectNews, UpstreamRequests,
 };
 use crate::relay::ports::{MirrorTable, TableStore, WireDialect};
 use crate::relay::server::{DirectoryDesk, HttpServer};
 
 /// Time between two signs of life.
 const HELLO_INTERVAL: Duration = Duration::from_millis(500);
+/// Time in which changes of an entry's requests are gathered before others are told.
+const TELL_INTERVAL: Duration = Duration::from_millis(15);
+/// Time after which they are told again without a change.
+const TELL_AGAIN: Duration = Duration::from_millis(300);
 /// Silence after which an agent is forgotten.
 const AGENT_SILENCE: Duration = Duration::from_secs(3);
 /// Largest datagram, in bytes.
@@ -147,6 +151,7 @@
         own: own.clone(),
     };
     let hello = speaker.clone();
+    actix_rt::spawn(speaker.clone().tell_requests());
     actix_rt::spawn(speaker.run());
     actix_rt::spawn(list_entry(store.clone(), place.name.clone(), own));
     log::info!(entry = place.name, front:% = options.front; "entry started");
@@ -266,6 +271,7 @@
         match body {
             Some(DatagramBody::Hello(hello)) => take_hello(&fleet, from, hello),
             Some(DatagramBody::Load(load)) => take_load(&fleet, from, load),
+            Some(DatagramBody::Requests(requests)) => take_requests(&fleet, requests),
             None => {}
         }
     }
@@ -296,6 +302,19 @@
     });
 }
 
+fn take_requests(fleet: &FleetHandle, requests: EntryRequests) {
+    let loads = requests.loads.into_iter().map(|load| {
+        let entry_load = EntryLoad {
+            in_flight: load.in_flight,
+            unread: load.unread,
+        };
+        (load.upstream, entry_load)
+    });
+    let loads: HashMap<_, _> = loads.collect();
+    fleet.with(|fleet| fleet.book.peer(&requests.name, &loads, Instant::now()));
+    fleet.freed.notify_one();
+}
+
 fn take_load(fleet: &FleetHandle, from: SocketAddr, load: EngineLoad) {
     let now = Instant::now();
     let Ok(engine) = load.engine.parse::<SocketAddr>() else {
@@ -337,6 +356,43 @@
         }
     }
 
+    /// Tells the entries of the region this entry's requests, soon after they change.
+    async fn tell_requests(self) {
+        let mut told = Instant::now();
+        loop {
+            sleep(TELL_INTERVAL).await;
+            let now = Instant::now();
+            let old = now.saturating_duration_since(told) >= TELL_AGAIN;
+            if !self.fleet.untold.replace(false) && !old {
+                continue;
+            }
+            told = now;
+            let (data, peers) = self.fleet.with(|fleet| {
+                let loads = fleet.book.own_loads().map(|(upstream, load)| UpstreamRequests {
+                    upstream: upstream.clone(),
+                    in_flight: load.in_flight,
+                    unread: load.unread,
+                });
+                let requests = EntryRequests {
+                    name: self.name.clone(),
+                    loads: loads.collect(),
+                };
+                let data = Datagram {
+                    body: Some(DatagramBody::Requests(requests)),
+                };
+                let alive = fleet.entries.alive(&self.name, now);
+                let near = alive.filter(|listing| listing.region == self.own.region);
+                let peers: Vec<SocketAddr> = near.map(|listing| listing.overlay).collect();
+                (data.encode_to_vec(), peers)
+            });
+            for peer in peers {
+                if let Err(err) = self.socket.try_send_to(&data, peer) {
+                    log::debug!("requests not told to {peer}: {err}");
+                }
+            }
+        }
+    }
+
     fn speak(&self) {
         let now = Instant::now();
         let hello = self.hello(now);
--- a/crates/agatepin/src/relay/fleet.rs
+++ b/crates/agatepin/src/relay/fleet.rs
@@ -1,6 +1,6 @@
 //! What an entry believes, shared by its tasks.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -62,6 +62,8 @@
     state: Rc<RefCell<FleetState>>,
     /// Wakes a request that waits for a place.
     pub freed: Rc<Notify>,
+    /// This entry's requests at upstreams changed since other entries were told.
+    pub untold: Rc<Cell<bool>>,
 }
 
 impl FleetHandle {
@@ -84,9 +86,16 @@
         Self {
             state: Rc::new(RefCell::new(state)),
             freed: Rc::new(Notify::new()),
+            untold: Rc::default(),
         }
     }
 
+    /// Notes that this entry's requests at upstreams changed.
+    pub fn changed(&self) {
+        self.untold.set(true);
+        self.freed.notify_one();
+    }
+
     /// Reads or changes the state; `act` must not wait.
     pub fn with<Act, Out>(&self, act: Act) -> Out
     where
--- a/crates/agatepin/src/relay/overlay.rs
+++ b/crates/agatepin/src/relay/overlay.rs
@@ -32,7 +32,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Datagram {
     /// What it carries.
-    #[prost(oneof = "DatagramBody", tags = "1, 2")]
+    #[prost(oneof = "DatagramBody", tags = "1, 2, 3")]
     pub body: Option<DatagramBody>,
 }
 
@@ -45,6 +45,34 @@
     /// From an agent.
     #[prost(message, tag = "2")]
     Load(EngineLoad),
+    /// From an entry of the same region.
+    #[prost(message, tag = "3")]
+    Requests(EntryRequests),
+}
+
+/// Requests of an entry at upstreams.
+#[derive(Clone, PartialEq, Message)]
+pub struct EntryRequests {
+    /// Name of the entry.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Upstreams that have any.
+    #[prost(message, repeated, tag = "2")]
+    pub loads: Vec<UpstreamRequests>,
+}
+
+/// Requests of an entry at one upstream.
+#[derive(Clone, PartialEq, Message)]
+pub struct UpstreamRequests {
+    /// Upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// Requests in flight.
+    #[prost(uint32, tag = "2")]
+    pub in_flight: u32,
+    /// Prompt tokens of those whose answer has not begun.
+    #[prost(uint32, tag = "3")]
+    pub unread: u32,
 }
 
 /// An entry's sign of life.
--- a/crates/agatepin/src/relay/send.rs
+++ b/crates/agatepin/src/relay/send.rs
@@ -67,20 +67,29 @@
 pub struct PlaceGuard {
     fleet: FleetHandle,
     upstream: UpstreamId,
+    unread: u32,
     outcome: SendOutcome,
 }
 
 impl PlaceGuard {
-    /// A guard for a request that admission counted at `upstream`.
+    /// A guard for a request of `tokens` prompt tokens that admission counted at `upstream`.
     #[must_use]
-    pub fn new(fleet: FleetHandle, upstream: UpstreamId) -> Self {
+    pub fn new(fleet: FleetHandle, upstream: UpstreamId, tokens: u32) -> Self {
         Self {
             fleet,
             upstream,
+            unread: tokens,
             outcome: SendOutcome::Abandoned,
         }
     }
 
+    /// Notes that the answer began.
+    pub fn began(&mut self) {
+        let unread = std::mem::take(&mut self.unread);
+        self.fleet.with(|fleet| fleet.book.began(&self.upstream, unread));
+        self.fleet.changed();
+    }
+
     /// Notes how the send ended.
     pub fn settle(&mut self, outcome: SendOutcome) {
         self.outcome = outcome;
@@ -96,9 +105,9 @@
 impl Drop for PlaceGuard {
     fn drop(&mut self) {
         let now = Instant::now();
-        let (upstream, outcome) = (&self.upstream, self.outcome);
-        self.fleet.with(|fleet| fleet.book.end(upstream, outcome, now));
-        self.fleet.freed.notify_one();
+        let (upstream, outcome, unread) = (&self.upstream, self.outcome, self.unread);
+        self.fleet.with(|fleet| fleet.book.end(upstream, outcome, unread, now));
+        self.fleet.changed();
     }
 }
 
--- a/crates/agatepin/src/relay/stream.rs
+++ b/crates/agatepin/src/relay/stream.rs
@@ -61,6 +61,7 @@
     let failure = match step {
         Ok(StreamStep::Events(first)) => {
             stream.first = first;
+            stream.place.began();
             return Ok(stream);
         }
         Ok(StreamStep::End) => return Ok(stream),
--- a/crates/core/src/relay/book.rs
+++ b/crates/core/src/relay/book.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use crate::ids::{DataCentreId, RegionId, ServiceId, UpstreamId};
+use crate::ids::{DataCentreId, InstanceId, RegionId, ServiceId, UpstreamId};
 use crate::relay::catalog::WeightsNumber;
 
 /// Time after which the last report of an agent says nothing of the load any more.
@@ -57,6 +57,15 @@
         pub queued: u32,
     }
 
+    /// Requests of one entry at one upstream.
+    #[derive(Copy, Default)]
+    pub struct EntryLoad {
+        /// Requests in flight.
+        pub in_flight: u32,
+        /// Prompt tokens of those whose answer has not begun.
+        pub unread: u32,
+    }
+
     /// How a send to an upstream ended.
     #[derive(Copy)]
     pub enum SendOutcome {
@@ -78,8 +87,9 @@
 pub struct UpstreamState {
     /// As the platform lists it.
     pub listing: UpstreamListing,
-    /// Requests of this entry that are in flight.
-    pub in_flight: u32,
+    /// Requests of this entry.
+    pub own: EntryLoad,
+    peers: BTreeMap<InstanceId, (EntryLoad, Instant)>,
     report: Option<(EngineReport, Instant)>,
     /// Requests that this entry sent since the last report.
     sent_since_report: u32,
@@ -95,7 +105,8 @@
         let cold_until = now + listing.cold_left;
         Self {
             listing,
-            in_flight: 0,
+            own: EntryLoad::default(),
+            peers: BTreeMap::new(),
             report: None,
             sent_since_report: 0,
             cold_until,
@@ -116,12 +127,32 @@
     /// Requests that are known to be at the upstream.
     #[must_use]
     pub fn load(&self, now: Instant) -> u32 {
+        let shared = self.shared(now).in_flight;
         match self.report(now) {
             Some(report) => {
-                (report.active + report.queued + self.sent_since_report).max(self.in_flight)
+                let reported = report.active + report.queued + self.sent_since_report;
+                reported.max(shared)
+            }
+            None => shared,
+        }
+    }
+
+    /// Prompt tokens that are known to wait at the upstream.
+    #[must_use]
+    pub fn unread(&self, now: Instant) -> u32 {
+        self.shared(now).unread
+    }
+
+    /// Requests of this entry and of those that tell it theirs.
+    fn shared(&self, now: Instant) -> EntryLoad {
+        let mut sum = self.own;
+        for (load, at) in self.peers.values() {
+            if now.saturating_duration_since(*at) < REPORT_TTL {
+                sum.in_flight += load.in_flight;
+                sum.unread += load.unread;
             }
-            None => self.in_flight,
         }
+        sum
     }
 
     /// Version of the weights that it holds completely.
@@ -244,20 +275,46 @@
         }
     }
 
-    /// Notes a request that is about to be sent.
-    pub fn begin(&mut self, id: &str) {
+    /// Notes a request of `tokens` prompt tokens that is about to be sent.
+    pub fn begin(&mut self, id: &str, tokens: u32) {
         if let Some(state) = self.upstreams.get_mut(id) {
-            state.in_flight += 1;
+            state.own.in_flight += 1;
+            state.own.unread += tokens;
             state.sent_since_report += 1;
         }
     }
 
-    /// Notes how a send ended.
-    pub fn end(&mut self, id: &str, outcome: SendOutcome, now: Instant) {
+    /// Notes that an answer began, so that its prompt has been read.
+    pub fn began(&mut self, id: &str, tokens: u32) {
+        if let Some(state) = self.upstreams.get_mut(id) {
+            state.own.unread = state.own.unread.saturating_sub(tokens);
+        }
+    }
+
+    /// Takes what another entry says of its requests. Upstreams that it does not name have none.
+    pub fn peer(&mut self, entry: &InstanceId, loads: &HashMap<UpstreamId, EntryLoad>, now: Instant) {
+        for (id, state) in &mut self.upstreams {
+            match loads.get(id) {
+                Some(load) => drop(state.peers.insert(entry.clone(), (*load, now))),
+                None => drop(state.peers.remove(entry)),
+            }
+        }
+    }
+
+    /// Requests of this entry, by upstream, for other entries.
+    pub fn own_loads(&self) -> impl Iterator<Item = (&UpstreamId, EntryLoad)> {
+        let all = self.upstreams.iter();
+        let busy = all.filter(|(_, state)| state.own != EntryLoad::default());
+        busy.map(|(id, state)| (id, state.own))
+    }
+
+    /// Notes how a send ended; `unread` prompt tokens of it had not been read.
+    pub fn end(&mut self, id: &str, outcome: SendOutcome, unread: u32, now: Instant) {
         let Some(state) = self.upstreams.get_mut(id) else {
             return;
         };
-        state.in_flight = state.in_flight.saturating_sub(1);
+        state.own.in_flight = state.own.in_flight.saturating_sub(1);
+        state.own.unread = state.own.unread.saturating_sub(unread);
         match outcome {
             SendOutcome::Answered => {
                 state.failures = 0;
--- a/crates/core/src/relay/catalog.rs
+++ b/crates/core/src/relay/catalog.rs
@@ -79,6 +79,20 @@
         pub gap: Option<Duration>,
     }
 
+    /// How fast an engine works.
+    pub struct EnginePace {
+        /// Time of a step that gives each running request one token.
+        pub step: Duration,
+        /// Time that each running request adds to a step.
+        pub step_per_request: Duration,
+        /// Steps of a pass.
+        pub steps_per_pass: u32,
+        /// Prompt tokens that are read in a second.
+        pub read_per_second: u32,
+        /// Most prompt tokens that are read in a pass.
+        pub read_per_pass: u32,
+    }
+
     /// What the engines of a service are.
     pub struct EngineSpec {
         /// Model that they serve.
@@ -93,6 +107,8 @@
         pub slots: u32,
         /// Time to load the weights into an engine.
         pub load_time: Duration,
+        /// How fast an engine works.
+        pub pace: EnginePace,
     }
 
     /// A service.
--- a/crates/core/src/relay/chooser.rs
+++ b/crates/core/src/relay/chooser.rs
@@ -1,18 +1,24 @@
 //! Which upstream gets a request.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::ids::{RegionId, UpstreamId};
 use crate::relay::book::{UpstreamBook, UpstreamState};
-use crate::relay::catalog::WeightsNumber;
+use crate::relay::catalog::{EngineSpec, WeightsNumber};
 use crate::relay::share::ColdShare;
 
-/// Load of an upstream in another data centre is taken for this many requests higher.
-const FAR_PENALTY: f64 = 1.0;
-/// Load of an upstream in another region is taken for this many requests higher.
-const FAR_REGION_PENALTY: f64 = 3.0;
+/// An upstream in another data centre is taken for this much slower.
+const FAR_PENALTY: Duration = Duration::from_millis(15);
+/// An upstream in another region is taken for this much slower: bytes between regions are dear.
+const FAR_REGION_PENALTY: Duration = Duration::from_millis(70);
+/// Time that one request at a plain upstream stands for, where upstreams are compared.
+const PLAIN_REQUEST: Duration = Duration::from_millis(25);
+/// Spread by chance, so that entries with the same view do not all choose the same upstream.
+const CHANCE: Duration = Duration::from_millis(20);
+/// Tokens of an answer for the time after which a place falls free; the platform's usual answer.
+const USUAL_ANSWER: u32 = 120;
 /// Requests that an engine may hold beyond its slots.
-const ENGINE_QUEUE: u32 = 2;
+const ENGINE_QUEUE: u32 = 3;
 /// Requests that a plain upstream may hold beyond its slots.
 const PLAIN_QUEUE: u32 = 2;
 
@@ -27,8 +33,12 @@
         pub tried: &'call [UpstreamId],
         /// Oldest weights that may serve it; any where none are given.
         pub weights: Option<WeightsNumber>,
-        /// Its service has engines.
-        pub engine: bool,
+        /// Its service's engines, where it has any.
+        pub engine: Option<&'call EngineSpec>,
+        /// Prompt tokens.
+        pub tokens: u32,
+        /// Time in which the first event is wanted.
+        pub first_event: Duration,
         /// Requests a second that a cold upstream bears; 0 where not limited.
         pub cold_per_second: u32,
     }
@@ -54,7 +64,7 @@
     }
 }
 
-/// Chooses the least loaded upstream, near ones first.
+/// Chooses the upstream that is expected to answer first, near ones before far ones.
 pub fn choose<Random>(
     book: &UpstreamBook,
     cold: &ColdShare,
@@ -66,7 +76,7 @@
 where
     Random: FnMut() -> f64,
 {
-    let mut best: Option<(f64, &UpstreamId)> = None;
+    let mut best: Option<(Duration, &UpstreamId)> = None;
     let mut full = false;
     for (id, state) in book.iter() {
         if !fits(book, wish, id, state, now) {
@@ -74,11 +84,17 @@
         }
         let slow_start = wish.cold_per_second > 0 && state.is_cold(now);
         let held = slow_start && !cold.allows(id, wish.cold_per_second, place.entries, now);
-        if held || state.load(now) >= room(state, wish.engine, place.entries, now) {
+        let delay = match wish.engine {
+            Some(engine) => first_event_delay(state, engine, wish.tokens, now),
+            None => PLAIN_REQUEST * state.load(now),
+        };
+        let late = wish.engine.is_some() && delay > wish.first_event;
+        let full_up = state.load(now) >= room(state, wish.engine.is_some(), place.entries, now);
+        if held || full_up || (late && state.load(now) > 0) {
             full = true;
             continue;
         }
-        let score = f64::from(state.load(now)) + distance(state, place) + random();
+        let score = delay + distance(state, place) + CHANCE.mul_f64(random());
         if best.is_none_or(|(least, _)| score < least) {
             best = Some((score, id));
         }
@@ -90,6 +106,33 @@
     }
 }
 
+/// Time after which an engine is expected to send the first event of a request of `tokens` prompt
+/// tokens: the rest of the pass under way, the wait for a place, and the passes that read the
+/// prompts before it and its own.
+#[must_use]
+pub fn first_event_delay(
+    state: &UpstreamState,
+    engine: &EngineSpec,
+    tokens: u32,
+    now: Instant,
+) -> Duration {
+    let pace = &engine.pace;
+    let load = state.load(now);
+    let running = load.min(state.listing.slots);
+    let write = (pace.step + pace.step_per_request * running) * pace.steps_per_pass;
+    let read = |tokens: u32| {
+        let passes = tokens.div_ceil(pace.read_per_pass).max(1);
+        let time = f64::from(tokens) / f64::from(pace.read_per_second);
+        write * passes + Duration::from_secs_f64(time)
+    };
+    let under_way = if load == 0 { Duration::ZERO } else { write / 2 };
+    let slots = state.listing.slots.max(1);
+    let waiting = (load + 1).saturating_sub(slots);
+    let answer = write * USUAL_ANSWER.div_ceil(pace.steps_per_pass);
+    let place = answer * waiting / slots;
+    under_way + place + read(state.unread(now) + tokens)
+}
+
 fn fits(
     book: &UpstreamBook,
     wish: &UpstreamWish<'_>,
@@ -107,7 +150,7 @@
 }
 
 fn weights_fit(wish: &UpstreamWish<'_>, state: &UpstreamState, now: Instant) -> bool {
-    if !wish.engine {
+    if wish.engine.is_none() {
         return true;
     }
     let Some(held) = state.weights(now) else {
@@ -128,9 +171,9 @@
     (places * if engine { 1 } else { 2 }).div_ceil(entries).max(1)
 }
 
-fn distance(state: &UpstreamState, place: &ChooserPlace<'_>) -> f64 {
+fn distance(state: &UpstreamState, place: &ChooserPlace<'_>) -> Duration {
     if state.listing.data_centre == place.data_centre {
-        0.0
+        Duration::ZERO
     } else if state.listing.region == place.region {
         FAR_PENALTY
     } else {
