--- a/crates/agatepin/src/loader/swap.rs
+++ b/crates/agatepin/src/loader/swap.rs
@@ -19,6 +19,11 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 /// Pause after a step that failed.
 const FAILURE_PAUSE: Duration = Duration::from_millis(300);
+/// Time for which the requests of an engine may go on before it changes its weights: about the
+/// usual length of a stream.
+const DRAIN_TIME: Duration = Duration::from_millis(900);
+/// Time after which the entries know that the engine takes no new requests.
+const NEWS_TIME: Duration = Duration::from_millis(120);
 /// Time in which a load must be done after the engine has taken the order and is free.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -81,6 +86,7 @@
             sleep(self.wave_delay()).await;
         }
         self.swapping.set(true);
+        self.drain().await;
         self.stage(plan).await?;
         let state = self.beat.state().ok_or_else(|| eyre!("the engine does not answer"))?;
         let (model, version) = (&plan.model, plan.version);
@@ -90,6 +96,21 @@
         self.await_load(version).await
     }
 
+    /// Waits until the engine's requests have ended, but not for the longest streams: those go on
+    /// at other engines.
+    async fn drain(&self) {
+        let started = Instant::now();
+        while started.elapsed() < DRAIN_TIME {
+            let idle = self.beat.state().is_none_or(|state| {
+                state.report.active + state.report.queued == 0
+            });
+            if idle && started.elapsed() >= NEWS_TIME {
+                return;
+            }
+            sleep(LOOK_INTERVAL).await;
+        }
+    }
+
     fn wave_delay(&self) -> Duration {
         let mut view = self.fetcher.view.borrow_mut();
         let agents = view.agents(Instant::now());
--- a/crates/agatepin/src/relay/ports.rs
+++ b/crates/agatepin/src/relay/ports.rs
@@ -218,7 +218,7 @@
         data: Bytes,
     ) -> impl Future<Output = Result<(), StoreError>>;
 
-    /// Orders the engine to load what is staged, once what runs has ended. `orders` is the number
+    /// Orders the engine to load what is staged, and to break off what runs. `orders` is the number
     /// of orders that it accepted before.
     fn load(
         &self,
--- a/crates/core/src/relay/chooser.rs
+++ b/crates/core/src/relay/chooser.rs
@@ -128,9 +128,11 @@
     let under_way = if load == 0 { Duration::ZERO } else { write / 2 };
     let slots = state.listing.slots.max(1);
     let waiting = (load + 1).saturating_sub(slots);
-    let answer = write * USUAL_ANSWER.div_ceil(pace.steps_per_pass);
+    let unread = state.unread(now) + tokens;
+    let pass = read(unread.min(pace.read_per_pass));
+    let answer = pass * USUAL_ANSWER.div_ceil(pace.steps_per_pass);
     let place = answer * waiting / slots;
-    under_way + place + read(state.unread(now) + tokens)
+    under_way + place + read(unread)
 }
 
 fn fits(
