--- a/crates/agatepin/src/loader/daemon.rs
+++ b/crates/agatepin/src/loader/daemon.rs
@@ -38,6 +38,8 @@
         pub engine: SocketAddr,
         /// Address for other daemons.
         pub overlay: SocketAddr,
+        /// Speed of the machine's link; 0 where it is not limited.
+        pub link_bytes_per_second: u64,
     }
 }
 
@@ -64,7 +66,7 @@
     let listener = TcpListener::bind(options.overlay).await.wrap_err_with(bind)?;
     let socket = UdpSocket::bind(options.overlay).await.wrap_err_with(bind)?;
     let socket = Rc::new(socket);
-    actix_rt::spawn(serve_pieces(listener, PieceGiver::new(vault.clone())));
+    actix_rt::spawn(serve_pieces(listener, PieceGiver::new(vault.clone(), options.link_bytes_per_second)));
     actix_rt::spawn(hear(socket.clone(), view.clone()));
     let port = options.overlay.port();
     actix_rt::spawn(watch_store(view.clone(), store, dialect, port));
--- a/crates/agatepin/src/loader/pieces.rs
+++ b/crates/agatepin/src/loader/pieces.rs
@@ -1,11 +1,13 @@
 //! Brings the pieces of one version to an agent: from its engine's stage, from other agents, and
 //! from the origin for those that this agent is to fetch.
 
+use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use agatepin_core::budget::LinkBudget;
 use agatepin_core::ids::ServiceId;
 use agatepin_core::rank;
 use agatepin_core::relay::sources::{PieceAgent, PieceSource, sources};
@@ -14,6 +16,7 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use socket2::SockRef;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 use tokio::time::{sleep, timeout};
@@ -26,9 +29,14 @@
 
 /// Pieces that are asked for at a time. Requests to the engine come over the same link, and wait
 /// behind them.
-const PARALLEL_PIECES: usize = 8;
-/// Pieces that are given away at a time: events of the engine's streams wait behind them.
-const PARALLEL_UPLOADS: usize = 4;
+const PARALLEL_PIECES: usize = 6;
+/// Pieces that are given away at a time.
+const PARALLEL_UPLOADS: usize = 6;
+/// Part of the machine's link that pieces may take, in hundredths: events of the engine's streams
+/// use the same link, and must not wait behind them.
+const LINK_PART: u64 = 88;
+/// Bytes of a piece that are sent at once.
+const UPLOAD_CHUNK_BYTES: usize = 4 * 1024;
 /// Time for which an agent that is asked waits until it has a piece itself.
 const HOLD: Duration = Duration::from_millis(150);
 /// Time for a pull of a piece, with the wait at its source and the way on a busy link.
@@ -318,15 +326,30 @@
 pub struct PieceGiver {
     vault: PieceVault,
     uploads: Rc<Semaphore>,
+    link: Rc<RefCell<LinkBudget>>,
 }
 
 impl PieceGiver {
-    /// A giver of what is in `vault`.
+    /// A giver of what is in `vault`, over a link of so many bytes a second.
     #[must_use]
-    pub fn new(vault: PieceVault) -> Self {
+    pub fn new(vault: PieceVault, link_bytes_per_second: u64) -> Self {
+        let rate = link_bytes_per_second * LINK_PART / 100;
+        let link = LinkBudget::new(rate, UPLOAD_CHUNK_BYTES as u64, Instant::now());
         Self {
             vault,
             uploads: Rc::new(Semaphore::new(PARALLEL_UPLOADS)),
+            link: Rc::new(RefCell::new(link)),
+        }
+    }
+
+    /// Waits until the link has room for `bytes`.
+    async fn pace(&self, bytes: usize) {
+        loop {
+            let taken = self.link.borrow_mut().try_take(bytes as u64, Instant::now());
+            match taken {
+                Ok(()) => return,
+                Err(wait) => sleep(wait).await,
+            }
         }
     }
 
@@ -355,9 +378,12 @@
             ..PullAnswer::default()
         };
         let _upload = self.uploads.acquire().await?;
-        overlay::write_answer(&mut connection, &answer).await?;
-        // The other side closes once it has all; until then the link is busy with this piece.
-        let _ = timeout(PULL_TIMEOUT, connection.next()).await;
+        let frame = overlay::frame_bytes(&answer)?;
+        let stream = connection.get_mut();
+        for chunk in frame.chunks(UPLOAD_CHUNK_BYTES) {
+            self.pace(chunk.len()).await;
+            timeout(PULL_TIMEOUT, stream.write_all(chunk)).await??;
+        }
         Ok(())
     }
 }
--- a/crates/agatepin/src/relay/overlay.rs
+++ b/crates/agatepin/src/relay/overlay.rs
@@ -7,14 +7,14 @@
 use std::time::Duration;
 
 use agatepin_core::relay::liveness::EntryListing;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use eyre::{Result, WrapErr, eyre};
 use futures_util::{SinkExt, StreamExt};
 use prost::Message;
 use serde::{Deserialize, Serialize};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tokio_util::codec::{Encoder, Framed, LengthDelimitedCodec};
 
 use crate::relay::ports::{MirrorTable, RowVersion, TableRead, TableRow};
 
@@ -390,10 +390,13 @@
 /// Frames for `stream`.
 #[must_use]
 pub fn frames(stream: TcpStream) -> PullConnection {
-    let codec = LengthDelimitedCodec::builder()
+    Framed::new(stream, pull_codec())
+}
+
+fn pull_codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder()
         .max_frame_length(MAX_FRAME_BYTES)
-        .new_codec();
-    Framed::new(stream, codec)
+        .new_codec()
 }
 
 /// Pulls from another daemon.
@@ -453,3 +456,14 @@
     connection.send(Bytes::from(answer.encode_to_vec())).await?;
     Ok(())
 }
+
+/// An answer as it goes over a connection for pulls, with its length before it.
+///
+/// # Errors
+/// It is longer than a frame may be.
+pub fn frame_bytes(answer: &PullAnswer) -> Result<Bytes> {
+    let mut frame = BytesMut::new();
+    let data = Bytes::from(answer.encode_to_vec());
+    pull_codec().encode(data, &mut frame)?;
+    Ok(frame.freeze())
+}
