--- a/crates/agatepin/src/loader/daemon.rs
+++ b/crates/agatepin/src/loader/daemon.rs
@@ -38,6 +38,8 @@
         pub engine: SocketAddr,
         /// Address for other daemons.
         pub overlay: SocketAddr,
+        /// The whole system starts for the first time.
+        pub first_start: bool,
         /// Speed of the machine's link; 0 where it is not limited.
         pub link_bytes_per_second: u64,
     }
@@ -91,6 +93,7 @@
             region: options.region,
             holds: None,
         },
+        first_start: options.first_start,
     };
     actix_rt::spawn(fetcher.clone().run(options.service.clone()));
     let swapper = WeightSwapper {
--- a/crates/agatepin/src/loader/pieces.rs
+++ b/crates/agatepin/src/loader/pieces.rs
@@ -77,6 +77,8 @@
     pub beat: EngineBeat,
     /// This agent.
     pub own: PieceAgent,
+    /// The whole system starts for the first time; engines hold and have staged their weights.
+    pub first_start: bool,
 }
 
 impl<Engine> PieceFetcher<Engine>
@@ -91,13 +93,13 @@
                 sleep(LOOK_INTERVAL).await;
                 continue;
             };
-            if self.beat.state().is_none() && !self.is_held(&plan) {
+            if self.beat.state().is_none() && (self.first_start || !self.is_held(&plan)) {
                 // Its engine may have it staged.
                 sleep(LOOK_INTERVAL).await;
                 continue;
             }
             let newer = async {
-                while !self.is_outdated(&service, &plan) {
+                while !self.is_outdated(&service, &plan) || self.is_half_here(&plan) {
                     sleep(LOOK_INTERVAL).await;
                 }
             };
@@ -117,6 +119,13 @@
         view.plan(service).is_some_and(|now| now.version > plan.version)
     }
 
+    /// Whether half of the pieces are here: then the version is brought in whole, though a newer
+    /// one was named, as it comes sooner and must serve until the newer one does.
+    fn is_half_here(&self, plan: &LoadPlan) -> bool {
+        let here = self.vault.with(plan.version, |set| set.pieces.len());
+        2 * here >= plan.engine.pieces as usize
+    }
+
     /// Whether another agent holds the version.
     fn is_held(&self, plan: &LoadPlan) -> bool {
         let agents = self.view.borrow_mut().agents(Instant::now());
