The moment at which weights were named lasts in the store

Cause: entries that all restart (kill_all) took every version for just named, and sent requests to older ones for 6.8 s more.

--- a/crates/agatepin/src/relay/mirror.rs
+++ b/crates/agatepin/src/relay/mirror.rs
@@ -6,11 +6,13 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use agatepin_core::ids::ModelId;
 use agatepin_core::relay::book::LAPSE_GRACE;
+use agatepin_core::relay::catalog::WeightsNumber;
 use tokio::time::sleep;
 
 use crate::relay::fleet::FleetHandle;
-use crate::relay::overlay::{self, EntryRow};
+use crate::relay::overlay::{self, EntryRow, WeightsRow};
 use crate::relay::ports::{
     FleetFact, MirrorTable, RowVersion, StoreError, TableRead, TableRow, TableStore, WireDialect,
 };
@@ -20,6 +22,10 @@
 const POLL_WAIT: Duration = Duration::from_millis(2_000);
 /// Longest wait for the table of entries: their signs of life tell the same sooner.
 const ENTRIES_WAIT: Duration = Duration::from_secs(15);
+/// Time between the turns in which entries write down the naming of weights.
+const NOTE_TURN: Duration = Duration::from_millis(150);
+/// Most turns that an entry waits.
+const MAX_TURNS: u32 = 10;
 /// Pause after changes, so that those of a busy moment come in one answer.
 const CHANGE_PAUSE: Duration = Duration::from_millis(250);
 /// Pause after a failure.
@@ -31,6 +37,19 @@
     rows: BTreeMap<String, TableRow>,
     version: RowVersion,
     listed: bool,
+    /// The store's clock at the last read, and when that was.
+    clock: Option<(Duration, Instant)>,
+}
+
+impl MirrorRows {
+    fn tick(&mut self, time: Duration) {
+        self.clock = Some((time, Instant::now()));
+    }
+
+    fn time(&self) -> Duration {
+        let clock = self.clock.map(|(time, at)| time + at.elapsed());
+        clock.unwrap_or_default()
+    }
 }
 
 /// Rows of all tables that an entry mirrors.
@@ -128,9 +147,13 @@
         let mut rows = self.rows.borrow_mut();
         let known = rows.entry(table).or_default();
         known.version = known.version.max(read.version);
+        known.tick(read.time);
         drop(rows);
         for row in read.rows {
-            self.apply(table, row, lapses);
+            let fact = self.apply(table, row, lapses, read.time);
+            if let Some(FleetFact::Weights { model, version }) = fact {
+                self.note_weights(model, version, read.time);
+            }
         }
         Ok(changes)
     }
@@ -143,6 +166,7 @@
             let mut rows = self.rows.borrow_mut();
             let known = rows.entry(table).or_default();
             known.listed = true;
+            known.tick(read.time);
             known.version = known.version.max(read.version);
             for key in known.rows.keys() {
                 if !read.rows.iter().any(|row| row.key == *key) {
@@ -152,23 +176,35 @@
         }
         for key in gone {
             let version = read.version;
-            self.apply(table, TableRow { key, version, value: None }, lapses);
+            let row = TableRow {
+                key,
+                version,
+                value: None,
+            };
+            self.apply(table, row, lapses, read.time);
         }
         for row in read.rows {
-            self.apply(table, row, lapses);
+            self.apply(table, row, lapses, read.time);
         }
         if table == MirrorTable::Upstreams {
             self.fleet.with(|fleet| fleet.listed = true);
         }
     }
 
-    fn apply(&self, table: MirrorTable, row: TableRow, lapses: bool) {
+    /// Takes a row, read when the store's clock stood at `time`. Returns what is new in it.
+    fn apply(
+        &self,
+        table: MirrorTable,
+        row: TableRow,
+        lapses: bool,
+        time: Duration,
+    ) -> Option<FleetFact> {
         {
             let mut rows = self.rows.borrow_mut();
             let known = rows.entry(table).or_default();
             let old = known.rows.get(&row.key);
             if old.is_some_and(|old| old.version >= row.version) {
-                return;
+                return None;
             }
             if row.value.is_some() {
                 known.rows.insert(row.key.clone(), row.clone());
@@ -178,30 +214,78 @@
         }
         let now = Instant::now();
         if table == MirrorTable::Entries {
-            return self.apply_entry(&row, now);
+            self.apply_entry(&row, time, now);
+            return None;
         }
         match self.dialect.read_row(table, &row) {
-            Ok(fact) => self.fleet.with(|fleet| fleet.learn(fact, lapses, now)),
+            Ok(fact) => {
+                self.fleet.with(|fleet| fleet.learn(fact.clone(), lapses, now));
+                Some(fact)
+            }
             Err(err) => {
                 log::warn!(table:?, key = row.key, reason = err.0; "row left out");
                 if table == MirrorTable::Upstreams {
                     let gone = FleetFact::UpstreamGone(row.key);
                     self.fleet.with(|fleet| fleet.learn(gone, false, now));
                 }
+                None
             }
         }
     }
 
-    fn apply_entry(&self, row: &TableRow, now: Instant) {
+    fn apply_entry(&self, row: &TableRow, time: Duration, now: Instant) {
         let Some(value) = &row.value else {
             return self.fleet.with(|fleet| fleet.entries.unlist(&row.key));
         };
+        if row.key.starts_with(WeightsRow::PREFIX) {
+            return match WeightsRow::parse(value) {
+                Ok(named) => self.fleet.with(|fleet| {
+                    let age = time.saturating_sub(Duration::from_millis(named.named_ms));
+                    fleet.learn_weights(&named.model, named.version, age, now);
+                }),
+                Err(err) => log::warn!(key = row.key, err:%; "row of weights left out"),
+            };
+        }
         match EntryRow::parse(value) {
             Ok(listing) => self.fleet.with(|fleet| fleet.entries.list(&row.key, listing, now)),
             Err(err) => log::warn!(key = row.key, err:%; "row of an entry left out"),
         }
     }
 
+    /// Writes down when new weights were named, unless another entry does so sooner.
+    fn note_weights(&self, model: ModelId, version: WeightsNumber, time: Duration) {
+        let row = WeightsRow {
+            model,
+            version,
+            named_ms: u64::try_from(time.as_millis()).unwrap_or(u64::MAX),
+        };
+        let mirror = self.clone();
+        let turn = self.fleet.with(|fleet| {
+            let alive = fleet.entries.alive_names(&self.own_name, Instant::now());
+            alive.filter(|name| **name < self.own_name).count()
+        });
+        actix_rt::spawn(async move {
+            sleep(NOTE_TURN * u32::try_from(turn).unwrap_or(u32::MAX).min(MAX_TURNS)).await;
+            let value = match row.write() {
+                Ok(value) => value,
+                Err(err) => return log::error!(err:%; "row of weights cannot be written"),
+            };
+            while !mirror.is_noted(&row.key()) {
+                match mirror.store.add_entry(&row.key(), value.clone()).await {
+                    Ok(()) => return,
+                    Err(err) => log::warn!(err:?; "naming of weights not written down yet"),
+                }
+                sleep(FAILURE_PAUSE).await;
+            }
+        });
+    }
+
+    fn is_noted(&self, key: &str) -> bool {
+        let rows = self.rows.borrow();
+        let entries = rows.get(&MirrorTable::Entries);
+        entries.is_some_and(|entries| entries.rows.contains_key(key))
+    }
+
     fn may_have_lapsed(&self, lost: bool) -> bool {
         let returned = *self.returned.borrow();
         lost || returned.is_some_and(|at| at.elapsed() < LAPSE_GRACE)
@@ -254,5 +338,6 @@
     Some(TableRead {
         rows: known.rows.values().cloned().collect(),
         version: known.version,
+        time: known.time(),
     })
 }
--- a/crates/agatepin/src/relay/overlay.rs
+++ b/crates/agatepin/src/relay/overlay.rs
@@ -268,6 +268,9 @@
     /// Version of the rows.
     #[prost(uint64, tag = "4")]
     pub version: u64,
+    /// Milliseconds on the store's clock.
+    #[prost(uint64, tag = "5")]
+    pub time_ms: u64,
 }
 
 /// A row between entries.
@@ -323,6 +326,7 @@
             data: Bytes::new(),
             rows: rows.collect(),
             version: read.version,
+            time_ms: u64::try_from(read.time.as_millis()).unwrap_or(u64::MAX),
         }
     }
 }
@@ -338,6 +342,7 @@
         Self {
             rows: rows.collect(),
             version: answer.version,
+            time: Duration::from_millis(answer.time_ms),
         }
     }
 }
@@ -384,6 +389,45 @@
     }
 }
 
+/// When entries learnt of new weights, as it stands in the entries' table: an entry that starts
+/// learns how old the naming is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WeightsRow {
+    /// Model.
+    pub model: String,
+    /// Version.
+    pub version: u64,
+    /// Milliseconds on the store's clock.
+    pub named_ms: u64,
+}
+
+impl WeightsRow {
+    /// What the keys of these rows begin with.
+    pub const PREFIX: &str = "weights/";
+
+    /// Key of the row.
+    #[must_use]
+    pub fn key(&self) -> String {
+        format!("{}{}/{}", Self::PREFIX, self.model, self.version)
+    }
+
+    /// Reads a row.
+    ///
+    /// # Errors
+    /// It is not what an entry writes.
+    pub fn parse(value: &[u8]) -> Result<Self> {
+        serde_json::from_slice(value).wrap_err("not a row of named weights")
+    }
+
+    /// Writes a row.
+    ///
+    /// # Errors
+    /// It cannot be written as JSON.
+    pub fn write(&self) -> Result<Bytes> {
+        Ok(Bytes::from(serde_json::to_vec(self)?))
+    }
+}
+
 /// A connection for pulls, in frames.
 pub type PullConnection = Framed<TcpStream, LengthDelimitedCodec>;
 
--- a/crates/agatepin/src/relay/ports.rs
+++ b/crates/agatepin/src/relay/ports.rs
@@ -41,6 +41,8 @@
         pub rows: Vec<TableRow>,
         /// Version of the service at that moment.
         pub version: RowVersion,
+        /// The service's steady clock at that moment.
+        pub time: Duration,
     }
 
     /// Why a call of the table service failed.
@@ -163,6 +165,9 @@
         wait: Duration,
     ) -> impl Future<Output = Result<TableRead, StoreError>>;
 
+    /// Writes a row of the entries' table unless it is there already.
+    fn add_entry(&self, key: &str, value: Bytes) -> impl Future<Output = Result<(), StoreError>>;
+
     /// Writes a row of the entries' table, or removes it where there is no value.
     fn write_entry(
         &self,
--- a/crates/core/src/relay/liveness.rs
+++ b/crates/core/src/relay/liveness.rs
@@ -90,6 +90,14 @@
             .map(|(_, state)| &state.listing)
     }
 
+    /// Names of the entries that count as alive, but `own`.
+    pub fn alive_names(&self, own: &str, now: Instant) -> impl Iterator<Item = &InstanceId> {
+        let own = own.to_owned();
+        let all = self.entries.iter();
+        all.filter(move |(name, state)| **name != own && is_alive(state, now))
+            .map(|(name, _)| name)
+    }
+
     /// Addresses for a caller in `data_centre` of `region`: of its data centre where there are
     /// any, else of its region, else all. `own` is the answering entry, where it takes callers.
     #[must_use]
