--- a/crates/agatepin/src/loader/pieces.rs
+++ b/crates/agatepin/src/loader/pieces.rs
@@ -43,7 +43,7 @@
 const PULL_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Time for which other agents are waited for before the next source is asked: a version has 8 s
 /// to be served everywhere.
-const AGENTS_TIME: Duration = Duration::from_millis(3_500);
+const AGENTS_TIME: Duration = Duration::from_millis(5_000);
 /// Pause after a round that left pieces out.
 const ROUND_PAUSE: Duration = Duration::from_millis(200);
 /// Pause between two looks at the named version.
@@ -156,6 +156,7 @@
             match found {
                 PieceFound::Data(data, source) => {
                     from_origin += usize::from(source == PieceSource::Origin);
+                    self.stage(plan, piece, data.clone()).await;
                     self.vault.with(plan.version, |set| set.pieces.insert(piece, data));
                 }
                 PieceFound::NotYet => waiting.push_back(piece),
@@ -188,15 +189,10 @@
 
     /// Takes what the engine's stage holds of the version, so that it need not be fetched.
     async fn take_staged(&self, plan: &LoadPlan) {
-        let held = self.beat.state().and_then(|state| state.report.weights);
-        let may_be_staged = held.is_none_or(|held| held == plan.version);
-        if !may_be_staged {
-            return;
-        }
         for piece in 0..plan.engine.pieces {
             let staged = match self.engine.staged(&plan.model, piece).await {
                 Ok(Some(staged)) => staged,
-                Ok(None) => return,
+                Ok(None) => continue,
                 Err(err) => return log::warn!(piece, err:?; "stage cannot be read"),
             };
             self.vault.with(plan.version, |set| {
@@ -207,6 +203,16 @@
         }
     }
 
+    /// Stages a piece as soon as it is here, so that it outlives this process.
+    async fn stage(&self, plan: &LoadPlan, piece: u32, data: Bytes) {
+        if self.beat.state().is_none() {
+            return;
+        }
+        if let Err(err) = self.engine.stage(&plan.model, piece, data).await {
+            log::info!(piece, err:?; "piece not staged yet");
+        }
+    }
+
     async fn fetch_digests(&self, plan: &LoadPlan) -> bool {
         if self.vault.with(plan.version, |set| set.digests.is_some()) {
             return true;
@@ -278,6 +284,7 @@
                     Ok(None) => continue,
                     Err(err) => {
                         log::info!(peer:%, piece, err:%; "piece not pulled");
+                        self.view.borrow_mut().forget(*peer);
                         continue;
                     }
                 },
--- a/crates/agatepin/src/loader/swap.rs
+++ b/crates/agatepin/src/loader/swap.rs
@@ -82,8 +82,8 @@
             return Err(eyre!("the engine is busy with an order"));
         }
         self.stage(plan).await?;
-        if state.report.weights.is_some() {
-            sleep(self.wave_delay()).await;
+        if let Some(held) = state.report.weights {
+            self.await_turn(plan, held).await;
         }
         self.swapping.set(true);
         self.drain().await;
@@ -111,6 +111,19 @@
         }
     }
 
+    /// Waits for the engine's turn, but not once what it holds may no longer serve.
+    async fn await_turn(&self, plan: &LoadPlan, held: WeightsNumber) {
+        let started = Instant::now();
+        let delay = self.wave_delay();
+        while started.elapsed() < delay {
+            let required = self.fetcher.view.borrow().required(&plan.model, Instant::now());
+            if required.is_some_and(|required| held < required) {
+                return;
+            }
+            sleep(LOOK_INTERVAL).await;
+        }
+    }
+
     fn wave_delay(&self) -> Duration {
         let mut view = self.fetcher.view.borrow_mut();
         let agents = view.agents(Instant::now());
--- a/crates/agatepin/src/loader/view.rs
+++ b/crates/agatepin/src/loader/view.rs
@@ -9,13 +9,14 @@
 
 use agatepin_core::ids::{ModelId, RegionId, ServiceId};
 use agatepin_core::relay::catalog::{CatalogSource, EngineSpec, RouteCatalog, WeightsNumber};
+use agatepin_core::relay::schedule::WeightsSchedule;
 use agatepin_core::relay::sources::PieceAgent;
 
 use crate::relay::overlay::{EntryHello, EntryRow};
 use crate::relay::ports::{FleetFact, MirrorTable, StoreError, TableStore, WireDialect};
 
 /// Silence after which an entry or agent is forgotten.
-const PEER_SILENCE: Duration = Duration::from_secs(5);
+const PEER_SILENCE: Duration = Duration::from_millis(2_500);
 
 agatepin_core::value_type! {
     /// What the agent's engine is to hold, and where it comes from.
@@ -35,7 +36,7 @@
 #[derive(Debug, Default)]
 pub struct FleetView {
     catalog: Option<RouteCatalog>,
-    versions: BTreeMap<ModelId, WeightsNumber>,
+    weights: BTreeMap<ModelId, WeightsSchedule>,
     entries: BTreeMap<SocketAddr, Instant>,
     agents: BTreeMap<SocketAddr, (PieceAgent, Instant)>,
     heard: Option<Instant>,
@@ -62,7 +63,8 @@
         self.heard = Some(now);
         self.entries.insert(from, now);
         for named in hello.weights {
-            self.name_weights(&named.model, named.version);
+            let age = Duration::from_millis(named.age_ms);
+            self.name_weights(&named.model, named.version, age, now);
         }
         for known in hello.agents {
             let Ok(overlay) = known.overlay.parse() else {
@@ -78,14 +80,24 @@
         }
     }
 
-    fn name_weights(&mut self, model: &str, version: WeightsNumber) {
-        let known = self.versions.entry(model.to_owned()).or_default();
-        if *known < version {
-            log::info!(model, old = *known, version; "weights named");
-            *known = version;
+    fn name_weights(&mut self, model: &str, version: WeightsNumber, age: Duration, now: Instant) {
+        let schedule = self.weights.entry(model.to_owned()).or_default();
+        if schedule.name(version, age, now) {
+            log::info!(model, version; "weights named");
         }
     }
 
+    /// Takes an agent out until it is heard of again.
+    pub fn forget(&mut self, agent: SocketAddr) {
+        self.agents.remove(&agent);
+    }
+
+    /// Oldest version of `model` that may serve now; none while any may.
+    #[must_use]
+    pub fn required(&self, model: &str, now: Instant) -> Option<WeightsNumber> {
+        self.weights.get(model)?.required(now)
+    }
+
     /// Entries that are told the load.
     pub fn entries(&mut self, now: Instant) -> Vec<SocketAddr> {
         let fresh = |at: &Instant| now.saturating_duration_since(*at) < PEER_SILENCE;
@@ -105,7 +117,8 @@
     pub fn plan(&self, service: &ServiceId) -> Option<LoadPlan> {
         let catalog = self.catalog.as_ref()?;
         let engine = catalog.service(service)?.engine.clone()?;
-        let named = self.versions.get(&engine.model).copied();
+        let named = self.weights.get(&engine.model);
+        let named = named.and_then(WeightsSchedule::newest);
         Some(LoadPlan {
             model: engine.model.clone(),
             version: named.unwrap_or(1),
@@ -159,7 +172,9 @@
 fn learn(view: &mut FleetView, fact: FleetFact, overlay_port: u16, now: Instant) {
     match fact {
         FleetFact::Catalog(source) => view.learn_catalog(*source),
-        FleetFact::Weights { model, version } => view.name_weights(&model, version),
+        FleetFact::Weights { model, version } => {
+            view.name_weights(&model, version, Duration::ZERO, now);
+        }
         FleetFact::Upstream(_, listing) if listing.weights.is_some() => {
             let overlay = SocketAddr::new(listing.address.ip(), overlay_port);
             let region: RegionId = listing.region;
--- a/crates/agatepin/src/relay/daemon.rs
+++ b/crates/agatepin/src/relay/daemon.rs
@@ -35,7 +35,7 @@
 /// Time after which they are told again without a change.
 const TELL_AGAIN: Duration = Duration::from_millis(300);
 /// Silence after which an agent is forgotten.
-const AGENT_SILENCE: Duration = Duration::from_secs(3);
+const AGENT_SILENCE: Duration = Duration::from_millis(1_500);
 /// Largest datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
 /// Most suspects told in one datagram.
--- a/crates/core/src/relay/schedule.rs
+++ b/crates/core/src/relay/schedule.rs
@@ -43,6 +43,12 @@
         versions.find(|(_, since)| due(since)).map(|(version, _)| *version)
     }
 
+    /// The newest version that is named.
+    #[must_use]
+    pub fn newest(&self) -> Option<WeightsNumber> {
+        self.named.keys().next_back().copied()
+    }
+
     /// Versions with the time since they were named, oldest first.
     pub fn named(&self, now: Instant) -> impl Iterator<Item = (WeightsNumber, Duration)> {
         let all = self.named.iter();
