--- a/crates/agatepin/src/loader/daemon.rs
+++ b/crates/agatepin/src/loader/daemon.rs
@@ -65,10 +65,15 @@
     let beat = EngineBeat::default();
     let swapping = SwapFlag::default();
     let bind = || format!("cannot bind {}", options.overlay);
-    let listener = TcpListener::bind(options.overlay).await.wrap_err_with(bind)?;
+    let listener = TcpListener::bind(options.overlay)
+        .await
+        .wrap_err_with(bind)?;
     let socket = UdpSocket::bind(options.overlay).await.wrap_err_with(bind)?;
     let socket = Rc::new(socket);
-    actix_rt::spawn(serve_pieces(listener, PieceGiver::new(vault.clone(), options.link_bytes_per_second)));
+    actix_rt::spawn(serve_pieces(
+        listener,
+        PieceGiver::new(vault.clone(), options.link_bytes_per_second),
+    ));
     actix_rt::spawn(hear(socket.clone(), view.clone()));
     let port = options.overlay.port();
     actix_rt::spawn(watch_store(view.clone(), store, dialect, port));
--- a/crates/agatepin/src/loader/pieces.rs
+++ b/crates/agatepin/src/loader/pieces.rs
@@ -43,7 +43,7 @@
 const PULL_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Time for which other agents are waited for before the next source is asked: a version has 8 s
 /// to be served everywhere.
-const AGENTS_TIME: Duration = Duration::from_millis(5_000);
+const AGENTS_TIME: Duration = Duration::from_secs(5);
 /// Pause after a round that left pieces out.
 const ROUND_PAUSE: Duration = Duration::from_millis(200);
 /// Pause between two looks at the named version.
@@ -116,7 +116,8 @@
 
     fn is_outdated(&self, service: &ServiceId, plan: &LoadPlan) -> bool {
         let view = self.view.borrow();
-        view.plan(service).is_some_and(|now| now.version > plan.version)
+        view.plan(service)
+            .is_some_and(|now| now.version > plan.version)
     }
 
     /// Whether half of the pieces are here: then the version is brought in whole, though a newer
@@ -157,7 +158,8 @@
                 PieceFound::Data(data, source) => {
                     from_origin += usize::from(source == PieceSource::Origin);
                     self.stage(plan, piece, data.clone()).await;
-                    self.vault.with(plan.version, |set| set.pieces.insert(piece, data));
+                    self.vault
+                        .with(plan.version, |set| set.pieces.insert(piece, data));
                 }
                 PieceFound::NotYet => waiting.push_back(piece),
                 PieceFound::Nowhere => {
@@ -176,7 +178,8 @@
     fn missing(&self, plan: &LoadPlan) -> Vec<u32> {
         let mut missing: Vec<u32> = self.vault.with(plan.version, |set| {
             let all = 0..plan.engine.pieces;
-            all.filter(|piece| !set.pieces.contains_key(piece)).collect()
+            all.filter(|piece| !set.pieces.contains_key(piece))
+                .collect()
         });
         let agents = self.view.borrow_mut().agents(Instant::now());
         let own = rank::seed(self.own.overlay.to_string().as_bytes());
@@ -231,7 +234,8 @@
                 log::warn!(source:?, pieces = digests.digests.len(); "digests do not fit the model");
                 continue;
             }
-            self.vault.with(plan.version, |set| set.digests = Some(digests));
+            self.vault
+                .with(plan.version, |set| set.digests = Some(digests));
             return true;
         }
         false
@@ -266,12 +270,7 @@
         }
     }
 
-    async fn fetch_piece(
-        &self,
-        plan: &LoadPlan,
-        piece: u32,
-        since: Instant,
-    ) -> (u32, PieceFound) {
+    async fn fetch_piece(&self, plan: &LoadPlan, piece: u32, since: Instant) -> (u32, PieceFound) {
         let agents = self.view.borrow_mut().agents(Instant::now());
         let (_, found) = sources(&agents, &self.own, plan.version, piece);
         for source in found {
@@ -293,7 +292,10 @@
                     None => continue,
                 },
             };
-            if self.vault.with(plan.version, |set| set.matches(piece, &data)) {
+            if self
+                .vault
+                .with(plan.version, |set| set.matches(piece, &data))
+            {
                 return (piece, PieceFound::Data(data, source));
             }
             log::warn!(piece, version = plan.version, source:?; "piece does not match its digest");
@@ -361,7 +363,10 @@
     /// Waits until the link has room for `bytes`.
     async fn pace(&self, bytes: usize) {
         loop {
-            let taken = self.link.borrow_mut().try_take(bytes as u64, Instant::now());
+            let taken = self
+                .link
+                .borrow_mut()
+                .try_take(bytes as u64, Instant::now());
             match taken {
                 Ok(()) => return,
                 Err(wait) => sleep(wait).await,
--- a/crates/agatepin/src/loader/swap.rs
+++ b/crates/agatepin/src/loader/swap.rs
@@ -77,7 +77,10 @@
     }
 
     async fn bring(&self, plan: &LoadPlan) -> Result<()> {
-        let state = self.beat.state().ok_or_else(|| eyre!("the engine does not answer"))?;
+        let state = self
+            .beat
+            .state()
+            .ok_or_else(|| eyre!("the engine does not answer"))?;
         if state.report.busy {
             return Err(eyre!("the engine is busy with an order"));
         }
@@ -88,7 +91,10 @@
         self.swapping.set(true);
         self.drain().await;
         self.stage(plan).await?;
-        let state = self.beat.state().ok_or_else(|| eyre!("the engine does not answer"))?;
+        let state = self
+            .beat
+            .state()
+            .ok_or_else(|| eyre!("the engine does not answer"))?;
         let (model, version) = (&plan.model, plan.version);
         let ordered = self.fetcher.engine.load(model, version, state.orders).await;
         log::info!(model, version, orders = state.orders, ordered:?; "load ordered");
@@ -101,9 +107,10 @@
     async fn drain(&self) {
         let started = Instant::now();
         while started.elapsed() < DRAIN_TIME {
-            let idle = self.beat.state().is_none_or(|state| {
-                state.report.active + state.report.queued == 0
-            });
+            let idle = self
+                .beat
+                .state()
+                .is_none_or(|state| state.report.active + state.report.queued == 0);
             if idle && started.elapsed() >= NEWS_TIME {
                 return;
             }
@@ -116,7 +123,11 @@
         let started = Instant::now();
         let delay = self.wave_delay();
         while started.elapsed() < delay {
-            let required = self.fetcher.view.borrow().required(&plan.model, Instant::now());
+            let required = self
+                .fetcher
+                .view
+                .borrow()
+                .required(&plan.model, Instant::now());
             if required.is_some_and(|required| held < required) {
                 return;
             }
@@ -139,7 +150,9 @@
         for piece in 0..plan.engine.pieces {
             let staged = fetcher.engine.staged(&plan.model, piece).await;
             let staged = staged.map_err(|err| eyre!("stage cannot be read: {err:?}"))?;
-            let wanted = fetcher.vault.with(plan.version, |set| set.pieces.get(&piece).cloned());
+            let wanted = fetcher
+                .vault
+                .with(plan.version, |set| set.pieces.get(&piece).cloned());
             let wanted = wanted.ok_or_else(|| eyre!("piece {piece} is missing"))?;
             if staged.is_some_and(|staged| staged == wanted) {
                 continue;
--- a/crates/agatepin/src/loader/vault.rs
+++ b/crates/agatepin/src/loader/vault.rs
@@ -101,7 +101,8 @@
 
     /// Digests; waits up to `wait` for them.
     pub async fn digests(&self, version: WeightsNumber, wait: Duration) -> Option<PieceDigests> {
-        self.wait_for(version, wait, |set| set.digests.clone()).await
+        self.wait_for(version, wait, |set| set.digests.clone())
+            .await
     }
 
     async fn wait_for<Find, Out>(&self, version: u64, wait: Duration, find: Find) -> Option<Out>
--- a/crates/agatepin/src/loader/view.rs
+++ b/crates/agatepin/src/loader/view.rs
@@ -109,7 +109,10 @@
     pub fn agents(&mut self, now: Instant) -> Vec<PieceAgent> {
         let fresh = |at: &Instant| now.saturating_duration_since(*at) < PEER_SILENCE;
         self.agents.retain(|_, (_, at)| fresh(at));
-        self.agents.values().map(|(agent, _)| agent.clone()).collect()
+        self.agents
+            .values()
+            .map(|(agent, _)| agent.clone())
+            .collect()
     }
 
     /// What the engine of `service` is to hold.
@@ -149,7 +152,11 @@
     Store: TableStore,
     Dialect: WireDialect,
 {
-    for table in [MirrorTable::Operator, MirrorTable::Upstreams, MirrorTable::Entries] {
+    for table in [
+        MirrorTable::Operator,
+        MirrorTable::Upstreams,
+        MirrorTable::Entries,
+    ] {
         let read = store.list(table).await?;
         let now = Instant::now();
         for row in read.rows {
--- a/crates/agatepin/src/relay/admit.rs
+++ b/crates/agatepin/src/relay/admit.rs
@@ -96,7 +96,10 @@
         weights: model.and_then(|model| fleet.weights.get(model)?.required(now)),
         engine: service.engine.as_ref(),
         tokens: wish.tokens,
-        first_event: wish.route.objective.saturating_sub(wish.started.elapsed() + WAY_BACK),
+        first_event: wish
+            .route
+            .objective
+            .saturating_sub(wish.started.elapsed() + WAY_BACK),
         cold_per_second: service.cold_per_second,
     };
     let chooser_place = ChooserPlace {
--- a/crates/agatepin/src/relay/call.rs
+++ b/crates/agatepin/src/relay/call.rs
@@ -163,7 +163,9 @@
                 priority: priority.unwrap_or(route.priority).min(9),
                 deadline,
             },
-            homes: customer.map(|customer| customer.home_regions.clone()).unwrap_or_default(),
+            homes: customer
+                .map(|customer| customer.home_regions.clone())
+                .unwrap_or_default(),
             service,
             route,
             started,
@@ -185,20 +187,24 @@
         }
         let mut tried = Vec::new();
         let mut unreachable = 0;
-        let mut last_failure = None;
+        // Once it may have run somewhere, no refusal may say that it has not.
+        let mut may_have_run = false;
         loop {
             let place = match self.find_place(&call, &tried).await {
                 Ok(place) => place,
-                Err(reason) => return refuse(line, last_failure.unwrap_or(reason)),
+                Err(_) if may_have_run => return refuse(line, RefusalReason::Broken),
+                Err(reason) => return refuse(line, reason),
             };
             let upstream = place.upstream().clone();
             line.sent_to.push(upstream.clone());
             let failure = match self.send(&call, place).await {
-                Ok(answer) if call.route.kind.is_stream() && answer.response.status().is_success() => {
+                Ok(answer)
+                    if call.route.kind.is_stream() && answer.response.status().is_success() =>
+                {
                     match self.begin_stream(&call, answer).await {
                         Ok((stream, head)) => {
                             tried.push(upstream);
-                            return self.pass_stream(call, line, tried, stream, head);
+                            return self.pass_stream(call, line, tried, stream, &head);
                         }
                         Err(failure) => failure,
                     }
@@ -217,19 +223,20 @@
             }
             tried.push(upstream);
             let sent = tried.len() - unreachable;
-            match self.after(&call, failure, sent, unreachable) {
-                AfterSend::Again => last_failure = self.failure_so_far(&call, sent),
+            may_have_run |= matches!(failure, SendFailure::MayHaveRun(_));
+            match self.after(&call, &failure, sent, unreachable) {
+                AfterSend::Again => {}
+                AfterSend::Refuse(RefusalReason::TimeUp) => {
+                    return refuse(line, RefusalReason::TimeUp);
+                }
+                AfterSend::Refuse(_) if may_have_run => {
+                    return refuse(line, RefusalReason::Broken);
+                }
                 AfterSend::Refuse(reason) => return refuse(line, reason),
             }
         }
     }
 
-    /// What the caller is told where no further upstream is found: once a request may have run,
-    /// nothing but that.
-    fn failure_so_far(&self, call: &CallState, sent: usize) -> Option<RefusalReason> {
-        (sent > 0 && call.route.kind.may_repeat()).then_some(RefusalReason::NotRun)
-    }
-
     async fn find_place(
         &self,
         call: &CallState,
@@ -241,9 +248,16 @@
             homes: &call.homes,
             tried,
             tokens: call.tokens,
-            started: if tried.is_empty() { call.started } else { Instant::now() },
+            started: if tried.is_empty() {
+                call.started
+            } else {
+                Instant::now()
+            },
         };
-        let left = call.request.deadline.saturating_duration_since(Instant::now());
+        let left = call
+            .request
+            .deadline
+            .saturating_duration_since(Instant::now());
         if left < LEAST_TIME {
             return Err(RefusalReason::TimeUpUnsent);
         }
@@ -253,7 +267,10 @@
     }
 
     async fn send(&self, call: &CallState, place: PlaceGuard) -> Result<OpenAnswer, SendFailure> {
-        let left = call.request.deadline.saturating_duration_since(Instant::now());
+        let left = call
+            .request
+            .deadline
+            .saturating_duration_since(Instant::now());
         let patience = if call.route.kind.may_repeat() {
             FIRST_EVENT_SILENCE.min(left)
         } else {
@@ -266,7 +283,7 @@
     fn after(
         &self,
         call: &CallState,
-        failure: SendFailure,
+        failure: &SendFailure,
         sent: usize,
         unreachable: usize,
     ) -> AfterSend {
@@ -310,7 +327,8 @@
         let witness = format!("{}#{sent}", call.request.id);
         let now = Instant::now();
         let key = call.suspect.clone();
-        self.fleet.with(|fleet| fleet.suspects.learn(key, [witness], now));
+        self.fleet
+            .with(|fleet| fleet.suspects.learn(key, [witness], now));
     }
 
     async fn begin_stream(
@@ -319,7 +337,10 @@
         answer: OpenAnswer,
     ) -> Result<(OpenStream, HeaderMap), SendFailure> {
         let headers = answer.response.headers().clone();
-        let left = call.request.deadline.saturating_duration_since(Instant::now());
+        let left = call
+            .request
+            .deadline
+            .saturating_duration_since(Instant::now());
         let patience = left.min(FIRST_EVENT_SILENCE);
         match stream::open_stream(answer, call.last_event, patience).await {
             Ok(stream) => Ok((stream, headers)),
@@ -333,7 +354,7 @@
         mut line: RequestLine,
         tried: Vec<UpstreamId>,
         stream: OpenStream,
-        headers: HeaderMap,
+        headers: &HeaderMap,
     ) -> Response<ReplyBody> {
         let (sender, receiver) = mpsc::channel(BODY_QUEUE);
         line.head(200, "streaming");
@@ -345,7 +366,7 @@
         };
         actix_rt::spawn(stream::relay_stream(stream, resume, sender));
         let mut response = Response::new(ReplyBody::Parts(receiver));
-        *response.headers_mut() = answer_headers(&headers);
+        *response.headers_mut() = answer_headers(headers);
         response.headers_mut().remove(CONTENT_LENGTH);
         response
     }
@@ -357,16 +378,16 @@
         tried: &mut Vec<UpstreamId>,
         last: Option<u64>,
     ) -> Option<OpenStream> {
-        while tried.len() < call.route.max_attempts as usize + 1 {
-            if tried.len() >= call.route.max_attempts as usize {
-                return None;
-            }
+        while tried.len() < call.route.max_attempts as usize {
             if !self.take_repeat(call, Instant::now()) {
                 return None;
             }
             let place = self.find_place(call, tried).await.ok()?;
             tried.push(place.upstream().clone());
-            let left = call.request.deadline.saturating_duration_since(Instant::now());
+            let left = call
+                .request
+                .deadline
+                .saturating_duration_since(Instant::now());
             let patience = left.min(FIRST_EVENT_SILENCE);
             let (dialect, fleet) = (&self.dialect, &self.fleet);
             let after = last.or(call.last_event);
@@ -398,7 +419,10 @@
             ..
         } = answer;
         let (parts, body) = response.into_parts();
-        let left = call.request.deadline.saturating_duration_since(Instant::now());
+        let left = call
+            .request
+            .deadline
+            .saturating_duration_since(Instant::now());
         let whole = timeout(left, Limited::new(body, MAX_HELD_BYTES).collect()).await;
         drop(connection);
         let body = match whole {
@@ -427,9 +451,8 @@
         let now = Instant::now();
         self.fleet.with(|fleet| {
             let listed = fleet.book.iter();
-            let usable = listed.filter(|(_, state)| {
-                state.listing.service == call.service && state.is_usable(now)
-            });
+            let usable = listed
+                .filter(|(_, state)| state.listing.service == call.service && state.is_usable(now));
             usable.count() > 1
         })
     }
--- a/crates/agatepin/src/relay/daemon.rs
+++ b/crates/agatepin/src/relay/daemon.rs
@@ -136,7 +136,11 @@
         }));
     }
     let mirror = TableMirror::new(store.clone(), dialect, fleet.clone(), place.name.clone());
-    for table in [MirrorTable::Operator, MirrorTable::Upstreams, MirrorTable::Entries] {
+    for table in [
+        MirrorTable::Operator,
+        MirrorTable::Upstreams,
+        MirrorTable::Entries,
+    ] {
         actix_rt::spawn(mirror.clone().run(table));
     }
     let pulls = listen(options.overlay).await?;
@@ -368,11 +372,14 @@
             }
             told = now;
             let (data, peers) = self.fleet.with(|fleet| {
-                let loads = fleet.book.own_loads().map(|(upstream, load)| UpstreamRequests {
-                    upstream: upstream.clone(),
-                    in_flight: load.in_flight,
-                    unread: load.unread,
-                });
+                let loads = fleet
+                    .book
+                    .own_loads()
+                    .map(|(upstream, load)| UpstreamRequests {
+                        upstream: upstream.clone(),
+                        in_flight: load.in_flight,
+                        unread: load.unread,
+                    });
                 let requests = EntryRequests {
                     name: self.name.clone(),
                     loads: loads.collect(),
@@ -410,9 +417,9 @@
     fn hello(&self, now: Instant) -> EntryHello {
         let ready = self.fleet.is_ready();
         self.fleet.with(|fleet| {
-            fleet.agents.retain(|_, agent| {
-                now.saturating_duration_since(agent.heard) < AGENT_SILENCE
-            });
+            fleet
+                .agents
+                .retain(|_, agent| now.saturating_duration_since(agent.heard) < AGENT_SILENCE);
             let named = fleet.weights.iter().flat_map(|(model, schedule)| {
                 schedule.named(now).map(|(version, age)| NamedWeights {
                     model: model.clone(),
@@ -455,9 +462,9 @@
             let engines = fleet.book.iter();
             let engines = engines.filter(|(_, state)| state.listing.weights.is_some());
             let port = self.own.overlay.port();
-            peers.extend(engines.map(|(_, state)| {
-                SocketAddr::new(state.listing.address.ip(), port)
-            }));
+            peers.extend(
+                engines.map(|(_, state)| SocketAddr::new(state.listing.address.ip(), port)),
+            );
             peers
         })
     }
--- a/crates/agatepin/src/relay/fleet.rs
+++ b/crates/agatepin/src/relay/fleet.rs
@@ -18,7 +18,7 @@
 use crate::relay::ports::FleetFact;
 
 /// Time for which a request that crashed upstreams is remembered: longer than its callers repeat it.
-const SUSPECT_KEEP: Duration = Duration::from_secs(60);
+const SUSPECT_KEEP: Duration = Duration::from_mins(1);
 
 agatepin_core::value_type! {
     /// What an agent says of itself.
--- a/crates/agatepin/src/relay/http_client.rs
+++ b/crates/agatepin/src/relay/http_client.rs
@@ -113,7 +113,11 @@
     ) -> Result<(StatusCode, Bytes), StoreError> {
         let broken = |err: hyper::Error| StoreError::Broken(err.to_string());
         request.headers_mut().insert(HOST, host_header(address)?);
-        if self.open.as_ref().is_none_or(|(sender, _)| sender.is_closed()) {
+        if self
+            .open
+            .as_ref()
+            .is_none_or(|(sender, _)| sender.is_closed())
+        {
             let stream = TcpStream::connect(address).await;
             let stream = stream.map_err(|err| StoreError::Broken(err.to_string()))?;
             let handshake = http1::handshake(TokioIo::new(stream)).await;
--- a/crates/agatepin/src/relay/mirror.rs
+++ b/crates/agatepin/src/relay/mirror.rs
@@ -19,7 +19,7 @@
 
 /// Longest wait of one long poll: a connection that went silent is given up within the time that
 /// the platform allows after it.
-const POLL_WAIT: Duration = Duration::from_millis(2_000);
+const POLL_WAIT: Duration = Duration::from_secs(2);
 /// Longest wait for the table of entries: their signs of life tell the same sooner.
 const ENTRIES_WAIT: Duration = Duration::from_secs(15);
 /// Time between the turns in which entries write down the naming of weights.
@@ -219,7 +219,8 @@
         }
         match self.dialect.read_row(table, &row) {
             Ok(fact) => {
-                self.fleet.with(|fleet| fleet.learn(fact.clone(), lapses, now));
+                self.fleet
+                    .with(|fleet| fleet.learn(fact.clone(), lapses, now));
                 Some(fact)
             }
             Err(err) => {
@@ -247,7 +248,9 @@
             };
         }
         match EntryRow::parse(value) {
-            Ok(listing) => self.fleet.with(|fleet| fleet.entries.list(&row.key, listing, now)),
+            Ok(listing) => self
+                .fleet
+                .with(|fleet| fleet.entries.list(&row.key, listing, now)),
             Err(err) => log::warn!(key = row.key, err:%; "row of an entry left out"),
         }
     }
--- a/crates/agatepin/src/relay/overlay.rs
+++ b/crates/agatepin/src/relay/overlay.rs
@@ -454,7 +454,9 @@
         let stream = timeout(CONNECT_TIMEOUT, socket.connect(peer)).await??;
         let mut connection = frames(stream);
         let request = PullRequest { wish: Some(wish) };
-        connection.send(Bytes::from(request.encode_to_vec())).await?;
+        connection
+            .send(Bytes::from(request.encode_to_vec()))
+            .await?;
         let frame = connection.next().await;
         let frame = frame.ok_or_else(|| eyre!("closed without an answer"))??;
         Ok(PullAnswer::decode(frame.freeze())?)
--- a/crates/agatepin/src/relay/refusal.rs
+++ b/crates/agatepin/src/relay/refusal.rs
@@ -42,7 +42,7 @@
 }
 
 /// Wait before a refused caller of a full service comes back: about one answer of an engine.
-const FULL_WAIT: Duration = Duration::from_millis(1_000);
+const FULL_WAIT: Duration = Duration::from_secs(1);
 /// Wait before a caller comes back where something else stood in the way.
 const SHORT_WAIT: Duration = Duration::from_millis(150);
 
--- a/crates/agatepin/src/relay/send.rs
+++ b/crates/agatepin/src/relay/send.rs
@@ -86,7 +86,8 @@
     /// Notes that the answer began.
     pub fn began(&mut self) {
         let unread = std::mem::take(&mut self.unread);
-        self.fleet.with(|fleet| fleet.book.began(&self.upstream, unread));
+        self.fleet
+            .with(|fleet| fleet.book.began(&self.upstream, unread));
         self.fleet.changed();
     }
 
@@ -106,7 +107,8 @@
     fn drop(&mut self) {
         let now = Instant::now();
         let (upstream, outcome, unread) = (&self.upstream, self.outcome, self.unread);
-        self.fleet.with(|fleet| fleet.book.end(upstream, outcome, unread, now));
+        self.fleet
+            .with(|fleet| fleet.book.end(upstream, outcome, unread, now));
         self.fleet.changed();
     }
 }
@@ -180,7 +182,11 @@
         return Err(SendFailure::MayHaveRun("foreign answer"));
     }
     let failed = response.status() >= StatusCode::INTERNAL_SERVER_ERROR;
-    place.settle(if failed { SendOutcome::Failed } else { SendOutcome::Answered });
+    place.settle(if failed {
+        SendOutcome::Failed
+    } else {
+        SendOutcome::Answered
+    });
     Ok(OpenAnswer {
         response,
         head,
@@ -201,7 +207,11 @@
 
 /// Weights that an upstream is to confirm: those that it is believed to hold, once older ones may
 /// no longer serve.
-fn wanted_weights(fleet: &FleetState, state: &UpstreamState, now: Instant) -> Option<WeightsNumber> {
+fn wanted_weights(
+    fleet: &FleetState,
+    state: &UpstreamState,
+    now: Instant,
+) -> Option<WeightsNumber> {
     let catalog = fleet.catalog.as_ref()?;
     let engine = catalog.service(&state.listing.service)?.engine.as_ref()?;
     fleet.weights.get(&engine.model)?.required(now)?;
--- a/crates/agatepin/src/relay/server.rs
+++ b/crates/agatepin/src/relay/server.rs
@@ -122,7 +122,11 @@
         let uri = request.uri();
         if self.dialect.is_ready_question(uri) {
             let ready = self.fleet.is_ready();
-            return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE });
+            return plain(if ready {
+                StatusCode::OK
+            } else {
+                StatusCode::SERVICE_UNAVAILABLE
+            });
         }
         let Some(question) = self.dialect.read_question(uri) else {
             return plain(StatusCode::NOT_FOUND);
@@ -132,7 +136,9 @@
         let addresses: Vec<SocketAddr> = self.fleet.with(|fleet| {
             let (dc, region) = (&question.data_centre, &question.region);
             let now = Instant::now();
-            fleet.entries.addresses(&self.place.name, own, dc, region, now)
+            fleet
+                .entries
+                .addresses(&self.place.name, own, dc, region, now)
         });
         if addresses.is_empty() {
             return plain(StatusCode::SERVICE_UNAVAILABLE);
--- a/crates/agatepin/src/relay/stream.rs
+++ b/crates/agatepin/src/relay/stream.rs
@@ -19,7 +19,7 @@
 use crate::relay::send::{OpenAnswer, PlaceGuard};
 
 /// Silence of a stream after which its upstream is given up: callers leave after 2 s.
-const STREAM_SILENCE: Duration = Duration::from_millis(1_000);
+const STREAM_SILENCE: Duration = Duration::from_secs(1);
 
 /// A stream whose first events have come.
 pub struct OpenStream {
--- a/crates/core/src/relay/book.rs
+++ b/crates/core/src/relay/book.rs
@@ -292,7 +292,12 @@
     }
 
     /// Takes what another entry says of its requests. Upstreams that it does not name have none.
-    pub fn peer(&mut self, entry: &InstanceId, loads: &HashMap<UpstreamId, EntryLoad>, now: Instant) {
+    pub fn peer(
+        &mut self,
+        entry: &InstanceId,
+        loads: &HashMap<UpstreamId, EntryLoad>,
+        now: Instant,
+    ) {
         for (id, state) in &mut self.upstreams {
             match loads.get(id) {
                 Some(load) => drop(state.peers.insert(entry.clone(), (*load, now))),
--- a/crates/core/src/relay/catalog.rs
+++ b/crates/core/src/relay/catalog.rs
@@ -272,7 +272,7 @@
     #[must_use]
     pub fn target(&self, draw: u32) -> &ServiceId {
         let total: u64 = self.targets.iter().map(|t| u64::from(t.weight)).sum();
-        let mut left = u64::from(draw) * total.max(1) >> 32;
+        let mut left = (u64::from(draw) * total.max(1)) >> 32;
         for target in &self.targets {
             let weight = u64::from(target.weight);
             if left < weight {
--- a/crates/core/src/relay/chooser.rs
+++ b/crates/core/src/relay/chooser.rs
@@ -131,8 +131,8 @@
     let unread = state.unread(now) + tokens;
     let pass = read(unread.min(pace.read_per_pass));
     let answer = pass * USUAL_ANSWER.div_ceil(pace.steps_per_pass);
-    let place = answer * waiting / slots;
-    under_way + place + read(unread)
+    let queue = answer * waiting / slots;
+    under_way + queue + read(unread)
 }
 
 fn fits(
@@ -147,7 +147,10 @@
         && !wish.tried.contains(id)
         && state.is_usable(now)
         && !book.is_evacuated(&listing.data_centre)
-        && wish.homes.iter().all(|homes| homes.is_empty() || homes.contains(&listing.region))
+        && wish
+            .homes
+            .iter()
+            .all(|homes| homes.is_empty() || homes.contains(&listing.region))
         && weights_fit(wish, state, now)
 }
 
@@ -170,7 +173,9 @@
         return places;
     }
     let entries = u32::try_from(entries.max(1)).unwrap_or(u32::MAX);
-    (places * if engine { 1 } else { 2 }).div_ceil(entries).max(1)
+    (places * if engine { 1 } else { 2 })
+        .div_ceil(entries)
+        .max(1)
 }
 
 fn distance(state: &UpstreamState, place: &ChooserPlace<'_>) -> Duration {
--- a/crates/core/src/relay/liveness.rs
+++ b/crates/core/src/relay/liveness.rs
@@ -63,12 +63,15 @@
 
     /// Takes a sign of life, which also introduces an entry that is not listed yet.
     pub fn heard(&mut self, name: &InstanceId, from: EntryListing, ready: bool, now: Instant) {
-        let state = self.entries.entry(name.clone()).or_insert_with(|| EntryState {
-            listing: from.clone(),
-            listed: now,
-            heard: None,
-            ready,
-        });
+        let state = self
+            .entries
+            .entry(name.clone())
+            .or_insert_with(|| EntryState {
+                listing: from.clone(),
+                listed: now,
+                heard: None,
+                ready,
+            });
         state.listing = from;
         state.heard = Some(now);
         state.ready = ready;
--- a/crates/core/src/relay/schedule.rs
+++ b/crates/core/src/relay/schedule.rs
@@ -40,7 +40,9 @@
     pub fn required(&self, now: Instant) -> Option<WeightsNumber> {
         let due = |since: &Instant| now.saturating_duration_since(*since) >= CUT_OVER;
         let mut versions = self.named.iter().rev();
-        versions.find(|(_, since)| due(since)).map(|(version, _)| *version)
+        versions
+            .find(|(_, since)| due(since))
+            .map(|(version, _)| *version)
     }
 
     /// The newest version that is named.
--- a/crates/core/src/relay/sources.rs
+++ b/crates/core/src/relay/sources.rs
@@ -65,7 +65,10 @@
     let home = (piece + turn) % regions.len();
     let ranked = |agents: &[&PieceAgent]| -> Vec<SocketAddr> {
         let order = agents.iter().cycle().skip(round % agents.len());
-        order.take(agents.len()).map(|agent| agent.overlay).collect()
+        order
+            .take(agents.len())
+            .map(|agent| agent.overlay)
+            .collect()
     };
     let importers = ranked(&regions[&own.region]);
     let fetchers = regions.values().nth(home).map(|agents| ranked(agents));
@@ -90,9 +93,19 @@
     let mut order: Vec<SocketAddr> = holders(true).into_iter().take(2).collect();
     if is_importer {
         order.extend(holders(false).into_iter().take(1));
-        order.extend(fetchers.into_iter().take_while(|agent| *agent != own.overlay).take(2));
+        order.extend(
+            fetchers
+                .into_iter()
+                .take_while(|agent| *agent != own.overlay)
+                .take(2),
+        );
     } else {
-        order.extend(importers.into_iter().take_while(|agent| *agent != own.overlay).take(2));
+        order.extend(
+            importers
+                .into_iter()
+                .take_while(|agent| *agent != own.overlay)
+                .take(2),
+        );
     }
     let mut found: Vec<PieceSource> = Vec::new();
     for agent in order {
--- /dev/null
+++ b/crates/core/tests/relay.rs
@@ -0,0 +1,13 @@
+//! Decisions of the direct path.
+
+mod relay {
+    pub mod book;
+    pub mod catalog;
+    pub mod chooser;
+    pub mod events;
+    pub mod liveness;
+    pub mod schedule;
+    pub mod setups;
+    pub mod share;
+    pub mod sources;
+}
--- /dev/null
+++ b/crates/core/tests/relay/book.rs
@@ -0,0 +1,136 @@
+use std::time::{Duration, Instant};
+
+use agatepin_core::relay::book::{
+    EJECT_BASE, EngineReport, FAILURES_TO_EJECT, REPORT_TTL, SendOutcome, UpstreamBook,
+};
+
+use super::setups::listing;
+
+const ID: &str = "u1";
+
+fn book(now: Instant) -> UpstreamBook {
+    let mut book = UpstreamBook::default();
+    book.list(&ID.to_owned(), listing("desk", 1, "thies"), now);
+    book
+}
+
+fn is_usable(book: &UpstreamBook, now: Instant) -> bool {
+    book.get(ID).is_some_and(|state| state.is_usable(now))
+}
+
+#[test]
+fn an_upstream_that_lapsed_stays_until_it_is_settled() {
+    let now = Instant::now();
+    let mut book = book(now);
+    book.unlist(&ID.to_owned(), true);
+    assert!(is_usable(&book, now));
+    book.settle();
+    assert!(book.get(ID).is_none());
+}
+
+#[test]
+fn an_upstream_that_lapsed_and_came_back_is_kept() {
+    let now = Instant::now();
+    let mut book = book(now);
+    book.unlist(&ID.to_owned(), true);
+    book.list(&ID.to_owned(), listing("desk", 1, "thies"), now);
+    book.settle();
+    assert!(is_usable(&book, now));
+}
+
+#[test]
+fn an_upstream_that_left_is_gone_at_once() {
+    let mut book = book(Instant::now());
+    book.unlist(&ID.to_owned(), false);
+    assert!(book.get(ID).is_none());
+}
+
+#[test]
+fn a_draining_upstream_is_not_used() {
+    let now = Instant::now();
+    let mut book = book(now);
+    let mut leaving = listing("desk", 1, "thies");
+    leaving.draining = true;
+    book.list(&ID.to_owned(), leaving, now);
+    assert!(!is_usable(&book, now));
+}
+
+#[test]
+fn an_unreachable_upstream_is_left_alone_for_longer_each_time() {
+    let now = Instant::now();
+    let mut book = book(now);
+    book.begin(ID, 0);
+    book.end(ID, SendOutcome::Unreachable, 0, now);
+    assert!(!is_usable(&book, now));
+    let again = now + EJECT_BASE;
+    assert!(is_usable(&book, again));
+    book.begin(ID, 0);
+    book.end(ID, SendOutcome::Unreachable, 0, again);
+    assert!(!is_usable(&book, again + EJECT_BASE));
+    assert!(is_usable(&book, again + EJECT_BASE * 2));
+}
+
+#[test]
+fn failures_in_a_row_eject_and_an_answer_forgives() {
+    let now = Instant::now();
+    let mut book = book(now);
+    for _ in 1..FAILURES_TO_EJECT {
+        book.end(ID, SendOutcome::Failed, 0, now);
+    }
+    book.end(ID, SendOutcome::Answered, 0, now);
+    book.end(ID, SendOutcome::Failed, 0, now);
+    assert!(is_usable(&book, now));
+    for _ in 1..FAILURES_TO_EJECT {
+        book.end(ID, SendOutcome::Failed, 0, now);
+    }
+    assert!(!is_usable(&book, now));
+}
+
+#[test]
+fn a_report_counts_for_all_entries_until_it_is_old() {
+    let now = Instant::now();
+    let mut book = book(now);
+    let report = EngineReport {
+        up: true,
+        weights: Some(2),
+        busy: false,
+        active: 3,
+        queued: 2,
+    };
+    book.report(listing("desk", 1, "thies").address, report, now);
+    book.begin(ID, 100);
+    let state = book.get(ID).unwrap();
+    assert_eq!(state.load(now), 6);
+    assert_eq!(state.weights(now), Some(2));
+    let old = now + REPORT_TTL;
+    assert_eq!(state.load(old), 1);
+    assert_eq!(state.weights(old), Some(1));
+}
+
+#[test]
+fn requests_of_other_entries_add_up_and_expire() {
+    let now = Instant::now();
+    let mut book = book(now);
+    let load = agatepin_core::relay::book::EntryLoad {
+        in_flight: 2,
+        unread: 500,
+    };
+    let loads = std::collections::HashMap::from([(ID.to_owned(), load)]);
+    book.peer(&"e2".to_owned(), &loads, now);
+    book.begin(ID, 300);
+    let state = book.get(ID).unwrap();
+    assert_eq!((state.load(now), state.unread(now)), (3, 800));
+    let old = now + REPORT_TTL + Duration::from_millis(1);
+    assert_eq!((state.load(old), state.unread(old)), (1, 300));
+}
+
+#[test]
+fn an_upstream_that_started_anew_under_its_name_begins_with_a_clean_record() {
+    let now = Instant::now();
+    let mut book = book(now);
+    book.end(ID, SendOutcome::Unreachable, 0, now);
+    let mut reborn = listing("desk", 1, "thies");
+    reborn.born = 2;
+    book.list(&ID.to_owned(), reborn, now);
+    assert!(is_usable(&book, now));
+}
--- /dev/null
+++ b/crates/core/tests/relay/events.rs
@@ -0,0 +1,73 @@
+use agatepin_core::relay::events::{EventError, EventSplitter};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+/// A stream of the events `from..=to`, some with more than one line.
+fn stream(from: u64, to: u64) -> Vec<u8> {
+    let mut out = Vec::new();
+    for id in from..=to {
+        let end = if id % 3 == 0 { "\r\n" } else { "\n" };
+        out.extend_from_slice(format!("id: {id}{end}data: token {id}{end}{end}").as_bytes());
+    }
+    out
+}
+
+fn fixed() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(17),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(fixed())]
+
+    /// However a stream is cut into reads, its bytes come out whole and in order.
+    #[test]
+    fn cuts_do_not_change_a_stream(cuts in prop::collection::vec(1_usize..40, 1..60)) {
+        let whole = stream(1, 12);
+        let mut splitter = EventSplitter::default();
+        let mut out = Vec::new();
+        let mut rest = whole.as_slice();
+        for cut in cuts.iter().cycle() {
+            let (now, later) = rest.split_at((*cut).min(rest.len()));
+            out.extend_from_slice(&splitter.push(now).unwrap().bytes);
+            rest = later;
+            if rest.is_empty() {
+                break;
+            }
+        }
+        prop_assert_eq!(out, whole);
+        prop_assert!(splitter.is_between_events());
+    }
+
+    /// A stream that breaks off anywhere and goes on elsewhere has each event once.
+    #[test]
+    fn a_broken_stream_goes_on_without_gap_or_repeat(broken in 0_usize..300, overlap in 0_u64..3) {
+        let whole = stream(1, 12);
+        let mut splitter = EventSplitter::default();
+        let mut out = splitter.push(&whole[..broken.min(whole.len())]).unwrap().bytes.to_vec();
+        let last = splitter.last();
+        splitter = EventSplitter::after(last);
+        let from = last.map_or(1, |last| (last + 1).saturating_sub(overlap).max(1));
+        out.extend_from_slice(&splitter.push(&stream(from, 12)).unwrap().bytes);
+        prop_assert_eq!(out, whole);
+    }
+}
+
+#[test]
+fn a_missing_event_is_an_error() {
+    let mut splitter = EventSplitter::after(Some(3));
+    let err = splitter.push(&stream(5, 5)).unwrap_err();
+    assert_eq!(err, EventError::Gap { after: 3, got: 5 });
+}
+
+#[test]
+fn part_of_an_event_is_held_back() {
+    let mut splitter = EventSplitter::default();
+    let batch = splitter.push(b"id: 1\ndata: x\n").unwrap();
+    assert_eq!(batch.events, 0);
+    assert!(!splitter.is_between_events());
+    assert_eq!(splitter.push(b"\n").unwrap().events, 1);
+}
--- /dev/null
+++ b/crates/core/tests/relay/schedule.rs
@@ -0,0 +1,31 @@
+use std::time::{Duration, Instant};
+
+use agatepin_core::relay::schedule::{CUT_OVER, WeightsSchedule};
+
+const NEW: Duration = Duration::ZERO;
+
+/// Two versions named 3 s apart: the first was taken to be due only with the second.
+#[test]
+fn a_newer_version_does_not_put_off_the_term_of_an_older_one() {
+    let start = Instant::now();
+    let later = start + Duration::from_secs(3);
+    let mut schedule = WeightsSchedule::default();
+    assert!(schedule.name(2, NEW, start));
+    assert!(schedule.name(3, NEW, later));
+    assert_eq!(schedule.required(later), None);
+    assert_eq!(schedule.required(start + CUT_OVER), Some(2));
+    assert_eq!(schedule.required(later + CUT_OVER), Some(3));
+}
+
+/// An entry that starts learns from the store how long ago a version was named.
+#[test]
+fn the_earliest_moment_that_is_heard_counts() {
+    let now = Instant::now() + CUT_OVER * 2;
+    let mut schedule = WeightsSchedule::default();
+    schedule.name(2, NEW, now);
+    assert_eq!(schedule.required(now), None);
+    assert!(!schedule.name(2, CUT_OVER, now));
+    assert_eq!(schedule.required(now), Some(2));
+    schedule.name(2, NEW, now);
+    assert_eq!(schedule.required(now), Some(2));
+}
--- /dev/null
+++ b/crates/core/tests/relay/setups.rs
@@ -0,0 +1,90 @@
+//! Values that the tests share.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use agatepin_core::relay::book::UpstreamListing;
+use agatepin_core::relay::catalog::{
+    CallerLimits, CatalogSource, CustomerEntry, EnginePace, EngineSpec, RequestKind, RouteSpec,
+    RouteTarget, ServiceSpec,
+};
+
+/// An upstream of `service` in `data_centre`, which is also its region.
+pub fn listing(service: &str, port: u16, data_centre: &str) -> UpstreamListing {
+    UpstreamListing {
+        service: service.to_owned(),
+        address: ([10, 0, 0, 1], port).into(),
+        data_centre: data_centre.to_owned(),
+        region: data_centre.to_owned(),
+        slots: 4,
+        draining: false,
+        cold_left: Duration::ZERO,
+        weights: Some(1),
+        born: 1,
+    }
+}
+
+pub fn route(name: &str, prefix: &str, kind: RequestKind) -> RouteSpec {
+    RouteSpec {
+        name: name.to_owned(),
+        host: "shop.example".to_owned(),
+        prefix: prefix.to_owned(),
+        targets: vec![RouteTarget {
+            service: "desk".to_owned(),
+            weight: 1,
+        }],
+        kind,
+        timeout: Duration::from_secs(2),
+        objective: Duration::from_millis(400),
+        max_attempts: 2,
+        priority: 0,
+        home_regions: Vec::new(),
+        anonymous: false,
+        gap: None,
+    }
+}
+
+pub fn engine() -> EngineSpec {
+    EngineSpec {
+        model: "m".to_owned(),
+        layers: 16,
+        pieces: 48,
+        piece_bytes: 1024,
+        slots: 4,
+        load_time: Duration::from_millis(300),
+        pace: EnginePace {
+            step: Duration::from_millis(7),
+            step_per_request: Duration::ZERO,
+            steps_per_pass: 6,
+            read_per_second: 30_000,
+            read_per_pass: 2_048,
+        },
+    }
+}
+
+pub fn catalog(routes: Vec<RouteSpec>) -> CatalogSource {
+    let customer = |name: &str, key: &str| CustomerEntry {
+        name: name.to_owned(),
+        keys: vec![key.to_owned()],
+        priority: None,
+        home_regions: Vec::new(),
+    };
+    CatalogSource {
+        version: 3,
+        routes,
+        services: BTreeMap::from([(
+            "desk".to_owned(),
+            ServiceSpec {
+                cold_per_second: 0,
+                engine: None,
+            },
+        )]),
+        origin: None,
+        customers: vec![customer("tannery", "k1"), customer("press", "k2")],
+        limits: CallerLimits {
+            header_bytes: 16_384,
+            body_bytes: 1_000,
+            idle: Duration::from_secs(15),
+        },
+    }
+}
