--- a/crates/agatepin/src/loader/daemon.rs
+++ b/crates/agatepin/src/loader/daemon.rs
@@ -45,7 +45,7 @@
     }
 }
 
-/// Binds the sockets and starts the tasks of an agent.
+/// Binds the sockets and starts the tasks of an agent. Returns its address for other daemons.
 ///
 /// # Errors
 /// An address cannot be bound.
@@ -54,7 +54,7 @@
     store: Store,
     dialect: Dialect,
     engine: Engine,
-) -> Result<()>
+) -> Result<SocketAddr>
 where
     Store: TableStore,
     Dialect: WireDialect,
@@ -68,14 +68,15 @@
     let listener = TcpListener::bind(options.overlay)
         .await
         .wrap_err_with(bind)?;
-    let socket = UdpSocket::bind(options.overlay).await.wrap_err_with(bind)?;
+    let overlay = listener.local_addr()?;
+    let socket = UdpSocket::bind(overlay).await.wrap_err_with(bind)?;
     let socket = Rc::new(socket);
     actix_rt::spawn(serve_pieces(
         listener,
         PieceGiver::new(vault.clone(), options.link_bytes_per_second),
     ));
     actix_rt::spawn(hear(socket.clone(), view.clone()));
-    let port = options.overlay.port();
+    let port = overlay.port();
     actix_rt::spawn(watch_store(view.clone(), store, dialect, port));
     let teller = BeatTeller {
         engine: engine.clone(),
@@ -94,7 +95,7 @@
         view,
         beat: beat.clone(),
         own: PieceAgent {
-            overlay: options.overlay,
+            overlay,
             region: options.region,
             holds: None,
         },
@@ -109,7 +110,7 @@
     };
     actix_rt::spawn(swapper.run());
     log::info!(agent = options.name, engine:% = options.engine; "agent started");
-    Ok(())
+    Ok(overlay)
 }
 
 async fn serve_pieces(listener: TcpListener, giver: PieceGiver) {
--- a/crates/agatepin/src/relay/daemon.rs
+++ b/crates/agatepin/src/relay/daemon.rs
@@ -71,6 +71,10 @@
 
 /// An entry that runs.
 pub struct RelayEntry<Store> {
+    /// Address for callers.
+    pub front: SocketAddr,
+    /// Address for the directory.
+    pub directory: SocketAddr,
     fleet: FleetHandle,
     store: Store,
     name: String,
@@ -96,10 +100,12 @@
 {
     let fleet = FleetHandle::new(options.retries.clone());
     let place = Rc::new(options.place.clone());
+    let front = listen(options.front).await?;
+    let pulls = listen(options.overlay).await?;
     let own = EntryListing {
         incarnation: rand::random(),
-        front: options.front,
-        overlay: options.overlay,
+        front: front.local_addr()?,
+        overlay: pulls.local_addr()?,
         data_centre: place.data_centre.clone(),
         region: place.region.clone(),
     };
@@ -114,17 +120,21 @@
     };
     let relay: CallRelay<Store, Dialect> =
         CallRelay::new(dialect.clone(), fleet.clone(), place.clone());
-    let front = bound(listen(options.front).await?);
-    actix_rt::spawn(front.run(move |request| relay.clone().answer(request)));
+    actix_rt::spawn(bound(front).run(move |request| relay.clone().answer(request)));
     let desk = Rc::new(DirectoryDesk {
         dialect: dialect.clone(),
         fleet: fleet.clone(),
         place: place.clone(),
         own: own.clone(),
     });
+    let mut directory = options.directory;
     for address in BTreeSet::from([options.ready, options.directory]) {
+        let listener = listen(address).await?;
+        if address == options.directory {
+            directory = listener.local_addr()?;
+        }
         let server = HttpServer {
-            listener: listen(address).await?,
+            listener,
             closing: CancellationToken::new(),
             leaving: CancellationToken::new(),
             open: TaskTracker::new(),
@@ -143,10 +153,9 @@
     ] {
         actix_rt::spawn(mirror.clone().run(table));
     }
-    let pulls = listen(options.overlay).await?;
     actix_rt::spawn(serve_rows(pulls, mirror.rows()));
-    let socket = UdpSocket::bind(options.overlay).await;
-    let socket = Rc::new(socket.wrap_err_with(|| format!("cannot bind {}", options.overlay))?);
+    let socket = UdpSocket::bind(own.overlay).await;
+    let socket = Rc::new(socket.wrap_err_with(|| format!("cannot bind {}", own.overlay))?);
     actix_rt::spawn(hear(socket.clone(), fleet.clone()));
     let speaker = Speaker {
         socket,
@@ -157,9 +166,11 @@
     let hello = speaker.clone();
     actix_rt::spawn(speaker.clone().tell_requests());
     actix_rt::spawn(speaker.run());
-    actix_rt::spawn(list_entry(store.clone(), place.name.clone(), own));
-    log::info!(entry = place.name, front:% = options.front; "entry started");
+    actix_rt::spawn(list_entry(store.clone(), place.name.clone(), own.clone()));
+    log::info!(entry = place.name, front:% = own.front; "entry started");
     Ok(RelayEntry {
+        front: own.front,
+        directory,
         fleet,
         store,
         name: options.place.name,
--- a/crates/agatepin/src/relay/server.rs
+++ b/crates/agatepin/src/relay/server.rs
@@ -83,7 +83,10 @@
         let answering = answer(request);
         async move { Ok::<_, Infallible>(answering.await) }
     });
+    // A connection that comes while the entry leaves still has its first request answered.
+    let is_last = leaving.is_cancelled();
     let connection = http1::Builder::new()
+        .keep_alive(!is_last)
         .timer(TokioTimer::new())
         .header_read_timeout(DEFAULT_IDLE)
         .max_buf_size(MAX_HEAD_BYTES)
@@ -91,7 +94,7 @@
     let mut connection = std::pin::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        () = leaving.cancelled() => {
+        () = leaving.cancelled(), if !is_last => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/crates/core/tests/relay/catalog.rs
+++ b/crates/core/tests/relay/catalog.rs
@@ -43,7 +43,9 @@
     let catalog = two_routes();
     let route = catalog.route("shop.example", "/a/x").unwrap();
     let found = catalog.customer(route, key);
-    let name = found.as_ref().map(|customer| customer.as_ref().map(|entry| entry.name.as_str()));
+    let name = found
+        .as_ref()
+        .map(|customer| customer.as_ref().map(|entry| entry.name.as_str()));
     assert_eq!(name, expected.as_ref().copied());
 }
 
--- a/crates/core/tests/relay/chooser.rs
+++ b/crates/core/tests/relay/chooser.rs
@@ -76,9 +76,15 @@
 #[test]
 fn homes_of_route_and_customer_both_bind() {
     let now = Instant::now();
-    let listings = [("d", listing("desk", 1, "dakar")), ("t", listing("desk", 2, "thies"))];
+    let listings = [
+        ("d", listing("desk", 1, "dakar")),
+        ("t", listing("desk", 2, "thies")),
+    ];
     let book = book(&listings, now);
-    let (dakar, both) = (["dakar".to_owned()], ["dakar".to_owned(), "thies".to_owned()]);
+    let (dakar, both) = (
+        ["dakar".to_owned()],
+        ["dakar".to_owned(), "thies".to_owned()],
+    );
     let mut bound = wish(None);
     bound.homes = [&both, &dakar];
     assert_eq!(chosen(&book, &bound, now), send("d"));
@@ -130,20 +136,25 @@
     let now = Instant::now();
     let spec = engine();
     let mut book = book(&[("u1", listing("desk", 1, "thies"))], now);
-    let delay = |book: &UpstreamBook| {
-        first_event_delay(book.get("u1").unwrap(), &spec, 1_000, now)
-    };
+    let delay = |book: &UpstreamBook| first_event_delay(book.get("u1").unwrap(), &spec, 1_000, now);
     let idle = delay(&book);
     book.begin("u1", 3_000);
     let reading = delay(&book);
     book.began("u1", 3_000);
     let writing = delay(&book);
-    assert!(idle < writing && writing < reading, "{idle:?} {writing:?} {reading:?}");
+    assert!(
+        idle < writing && writing < reading,
+        "{idle:?} {writing:?} {reading:?}"
+    );
     let full = EntryLoad {
         in_flight: 5,
         unread: 0,
     };
-    book.peer(&"e2".to_owned(), &HashMap::from([("u1".to_owned(), full)]), now);
+    book.peer(
+        &"e2".to_owned(),
+        &HashMap::from([("u1".to_owned(), full)]),
+        now,
+    );
     assert!(delay(&book) > writing * 2);
 }
 
--- a/crates/core/tests/relay/share.rs
+++ b/crates/core/tests/relay/share.rs
@@ -21,7 +21,9 @@
 #[case(9)]
 fn entries_together_keep_the_fleets_allowance(#[case] entries: usize) {
     let start = Instant::now();
-    let mut shares: Vec<_> = (0..entries).map(|_| RetryShare::new(allowance(), start)).collect();
+    let mut shares: Vec<_> = (0..entries)
+        .map(|_| RetryShare::new(allowance(), start))
+        .collect();
     let mut repeats = Vec::new();
     for tick in 0..3_000_u32 {
         let now = start + Duration::from_millis(10) * tick;
@@ -35,7 +37,9 @@
     let requests_a_window = 1_000 * entries;
     let allowed = requests_a_window / 5 + 100;
     let most = repeats.iter().map(|from| {
-        let within = repeats.iter().filter(|at| **at >= *from && **at < *from + WINDOW);
+        let within = repeats
+            .iter()
+            .filter(|at| **at >= *from && **at < *from + WINDOW);
         within.count()
     });
     assert!(most.max().unwrap() <= allowed);
--- a/crates/core/tests/relay/sources.rs
+++ b/crates/core/tests/relay/sources.rs
@@ -38,11 +38,14 @@
 fn work_is_spread_evenly() {
     let agents = fleet();
     for own in &agents {
-        let imported = (0..PIECES).filter(|piece| {
-            sources(&agents, own, 2, *piece).0 != PieceDuty::Take
-        });
+        let imported =
+            (0..PIECES).filter(|piece| sources(&agents, own, 2, *piece).0 != PieceDuty::Take);
         let imported = imported.count();
-        assert!((3..=6).contains(&imported), "{} imports {imported}", own.overlay);
+        assert!(
+            (3..=6).contains(&imported),
+            "{} imports {imported}",
+            own.overlay
+        );
     }
 }
 
@@ -78,7 +81,9 @@
 #[test]
 fn the_next_in_rank_stands_behind_each_source() {
     let agents = fleet();
-    let takers = agents.iter().filter(|own| sources(&agents, own, 2, 0).0 == PieceDuty::Take);
+    let takers = agents
+        .iter()
+        .filter(|own| sources(&agents, own, 2, 0).0 == PieceDuty::Take);
     for own in takers {
         let (_, found) = sources(&agents, own, 2, 0);
         let addresses: Vec<SocketAddr> = found
