Weights: one version at a time in the stage

Cause: pieces of the next version were staged as they came, also between the check of the stage and the order to load the version before. Ruled out: spoilt pieces (all digests matched), the order's answer lost. A load keeps the stage for itself, and waits for writes that got no answer.

--- a/crates/agatepin/src/loader/daemon.rs
+++ b/crates/agatepin/src/loader/daemon.rs
@@ -12,6 +12,7 @@
 
 use crate::loader::beat::{BeatTeller, EngineBeat};
 use crate::loader::pieces::{PieceFetcher, PieceGiver};
+use crate::loader::stage::StageDesk;
 use crate::loader::swap::{SwapFlag, WeightSwapper};
 use crate::loader::vault::PieceVault;
 use crate::loader::view::{self, SharedView};
@@ -90,6 +91,7 @@
     };
     actix_rt::spawn(teller.run());
     let fetcher = PieceFetcher {
+        stage: StageDesk::new(engine.clone()),
         engine,
         vault,
         view,
--- a/crates/agatepin/src/loader/mod.rs
+++ b/crates/agatepin/src/loader/mod.rs
@@ -4,6 +4,7 @@
 pub mod beat;
 pub mod daemon;
 pub mod pieces;
+pub mod stage;
 pub mod swap;
 pub mod vault;
 pub mod view;
--- a/crates/agatepin/src/loader/pieces.rs
+++ b/crates/agatepin/src/loader/pieces.rs
@@ -22,6 +22,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::loader::beat::EngineBeat;
+use crate::loader::stage::StageDesk;
 use crate::loader::vault::PieceVault;
 use crate::loader::view::{LoadPlan, SharedView};
 use crate::relay::overlay::{self, DigestsWish, PieceWish, PullAnswer, PullWish};
@@ -67,8 +68,10 @@
 /// Fetches pieces for one agent.
 #[derive(Clone)]
 pub struct PieceFetcher<Engine> {
-    /// The engine's stage and the origin.
+    /// The engine, and the origin.
     pub engine: Engine,
+    /// The engine's stage, for writing.
+    pub stage: StageDesk<Engine>,
     /// Where pieces are kept.
     pub vault: PieceVault,
     /// The fleet.
@@ -157,7 +160,7 @@
             match found {
                 PieceFound::Data(data, source) => {
                     from_origin += usize::from(source == PieceSource::Origin);
-                    self.stage(plan, piece, data.clone()).await;
+                    self.stage_early(plan, piece, data.clone()).await;
                     self.vault
                         .with(plan.version, |set| set.pieces.insert(piece, data));
                 }
@@ -207,11 +210,11 @@
     }
 
     /// Stages a piece as soon as it is here, so that it outlives this process.
-    async fn stage(&self, plan: &LoadPlan, piece: u32, data: Bytes) {
+    async fn stage_early(&self, plan: &LoadPlan, piece: u32, data: Bytes) {
         if self.beat.state().is_none() {
             return;
         }
-        if let Err(err) = self.engine.stage(&plan.model, piece, data).await {
+        if let Err(err) = self.stage.stage_early(&plan.model, piece, data).await {
             log::info!(piece, err:?; "piece not staged yet");
         }
     }
--- a/crates/agatepin/src/loader/swap.rs
+++ b/crates/agatepin/src/loader/swap.rs
@@ -12,6 +12,8 @@
 
 use crate::loader::beat::EngineBeat;
 use crate::loader::pieces::PieceFetcher;
+use crate::loader::stage::StageClaim;
+use crate::loader::vault::PieceSet;
 use crate::loader::view::LoadPlan;
 use crate::relay::ports::EnginePort;
 
@@ -84,13 +86,15 @@
         if state.report.busy {
             return Err(eyre!("the engine is busy with an order"));
         }
-        self.stage(plan).await?;
         if let Some(held) = state.report.weights {
             self.await_turn(plan, held).await;
         }
+        let claim = self.fetcher.stage.claim().await;
+        self.stage(plan, &claim).await?;
         self.swapping.set(true);
         self.drain().await;
-        self.stage(plan).await?;
+        // Pieces may have spoilt in the stage meanwhile.
+        self.stage(plan, &claim).await?;
         let state = self
             .beat
             .state()
@@ -144,21 +148,18 @@
         rollout::wave_delay(&self.fetcher.own.overlay.to_string(), &names)
     }
 
-    /// Stages the pieces that are not staged as they should be: they may spoil there.
-    async fn stage(&self, plan: &LoadPlan) -> Result<()> {
+    /// Stages the pieces that are not staged as they should be.
+    async fn stage(&self, plan: &LoadPlan, claim: &StageClaim<'_>) -> Result<()> {
         let fetcher = &self.fetcher;
         for piece in 0..plan.engine.pieces {
-            let staged = fetcher.engine.staged(&plan.model, piece).await;
-            let staged = staged.map_err(|err| eyre!("stage cannot be read: {err:?}"))?;
-            let wanted = fetcher
-                .vault
-                .with(plan.version, |set| set.pieces.get(&piece).cloned());
+            let find = |set: &mut PieceSet| set.pieces.get(&piece).cloned();
+            let wanted = fetcher.vault.with(plan.version, find);
             let wanted = wanted.ok_or_else(|| eyre!("piece {piece} is missing"))?;
-            if staged.is_some_and(|staged| staged == wanted) {
-                continue;
-            }
-            let put = fetcher.engine.stage(&plan.model, piece, wanted).await;
-            put.map_err(|err| eyre!("piece {piece} not staged: {err:?}"))?;
+            let staged = fetcher
+                .stage
+                .restage(claim, &plan.model, piece, wanted)
+                .await;
+            staged.map_err(|err| eyre!("piece {piece} not staged: {err:?}"))?;
         }
         Ok(())
     }
