Weights: agents bring in first what is asked of them, and hear of versions from those that ask

An agent cut off from entries and store never heard of the version that it was to fetch for others; they were told 'not yet' for 5 s, by when the origin was down.

--- a/crates/agatepin/src/loader/daemon.rs
+++ b/crates/agatepin/src/loader/daemon.rs
@@ -74,7 +74,7 @@
     let socket = Rc::new(socket);
     actix_rt::spawn(serve_pieces(
         listener,
-        PieceGiver::new(vault.clone(), options.link_bytes_per_second),
+        PieceGiver::new(vault.clone(), view.clone(), options.link_bytes_per_second),
     ));
     actix_rt::spawn(hear(socket.clone(), view.clone()));
     let port = overlay.port();
--- a/crates/agatepin/src/loader/pieces.rs
+++ b/crates/agatepin/src/loader/pieces.rs
@@ -2,7 +2,6 @@
 //! from the origin for those that this agent is to fetch.
 
 use std::cell::RefCell;
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -145,12 +144,13 @@
         self.take_staged(plan).await;
         let missing = self.missing(plan);
         let total = missing.len();
-        let mut waiting: VecDeque<u32> = missing.into();
+        let mut waiting = missing;
         let mut running = FuturesUnordered::new();
         let mut from_origin = 0;
+        let mut origin_ms = 0;
         loop {
             while running.len() < PARALLEL_PIECES
-                && let Some(piece) = waiting.pop_front()
+                && let Some(piece) = self.next_piece(plan, &mut waiting)
             {
                 running.push(self.fetch_piece(plan, piece, started));
             }
@@ -159,12 +159,15 @@
             };
             match found {
                 PieceFound::Data(data, source) => {
-                    from_origin += usize::from(source == PieceSource::Origin);
+                    if source == PieceSource::Origin {
+                        from_origin += 1;
+                        origin_ms = started.elapsed().as_millis();
+                    }
                     self.stage_early(plan, piece, data.clone()).await;
                     self.vault
                         .with(plan.version, |set| set.pieces.insert(piece, data));
                 }
-                PieceFound::NotYet => waiting.push_back(piece),
+                PieceFound::NotYet => waiting.push(piece),
                 PieceFound::Nowhere => {
                     log::warn!(version = plan.version, piece; "no source has this piece");
                 }
@@ -173,26 +176,35 @@
         let complete = self.vault.is_complete(plan.version);
         let ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
         let version = plan.version;
-        log::info!(version, total, from_origin, complete, ms; "pieces fetched");
+        let origin_ms = u64::try_from(origin_ms).unwrap_or(u64::MAX);
+        log::info!(version, total, from_origin, origin_ms, complete, ms; "pieces fetched");
     }
 
-    /// Pieces that are missing: those that others wait for first, then in an order of this
-    /// agent's own, so that not all ask the same source at once.
     fn missing(&self, plan: &LoadPlan) -> Vec<u32> {
+        let own = rank::seed(self.own.overlay.to_string().as_bytes());
         let mut missing: Vec<u32> = self.vault.with(plan.version, |set| {
             let all = 0..plan.engine.pieces;
             all.filter(|piece| !set.pieces.contains_key(piece))
                 .collect()
         });
-        let agents = self.view.borrow_mut().agents(Instant::now());
-        let own = rank::seed(self.own.overlay.to_string().as_bytes());
-        missing.sort_by_cached_key(|piece| {
-            let (duty, _) = sources(&agents, &self.own, plan.version, *piece);
-            (duty, rank::mix(own, u64::from(*piece)))
-        });
+        // An order of this agent's own, so that not all ask the same source at once.
+        missing.sort_by_cached_key(|piece| rank::mix(own, u64::from(*piece)));
         missing
     }
 
+    /// Takes the piece to ask for next: one that another agent asked this one for, else one that
+    /// this agent is to bring in for others, else the first.
+    fn next_piece(&self, plan: &LoadPlan, waiting: &mut Vec<u32>) -> Option<u32> {
+        let agents = self.view.borrow_mut().agents(Instant::now());
+        let wanted = self.vault.wanted(plan.version);
+        let places = waiting.iter().enumerate();
+        let (place, _) = places.min_by_key(|(place, piece)| {
+            let (duty, _) = sources(&agents, &self.own, plan.version, **piece);
+            (!wanted.contains(piece), duty, *place)
+        })?;
+        Some(waiting.remove(place))
+    }
+
     /// Takes what the engine's stage holds of the version, so that it need not be fetched.
     async fn take_staged(&self, plan: &LoadPlan) {
         for piece in 0..plan.engine.pieces {
@@ -346,6 +358,7 @@
 #[derive(Clone)]
 pub struct PieceGiver {
     vault: PieceVault,
+    view: SharedView,
     uploads: Rc<Semaphore>,
     link: Rc<RefCell<LinkBudget>>,
 }
@@ -353,16 +366,24 @@
 impl PieceGiver {
     /// A giver of what is in `vault`, over a link of so many bytes a second.
     #[must_use]
-    pub fn new(vault: PieceVault, link_bytes_per_second: u64) -> Self {
+    pub fn new(vault: PieceVault, view: SharedView, link_bytes_per_second: u64) -> Self {
         let rate = link_bytes_per_second * LINK_PART / 100;
         let link = LinkBudget::new(rate, UPLOAD_CHUNK_BYTES as u64, Instant::now());
         Self {
             vault,
+            view,
             uploads: Rc::new(Semaphore::new(PARALLEL_UPLOADS)),
             link: Rc::new(RefCell::new(link)),
         }
     }
 
+    /// An agent that no entry reaches hears of new weights from those that want them of it.
+    fn hear_of(&self, wish: &PieceWish) {
+        let mut view = self.view.borrow_mut();
+        let now = Instant::now();
+        view.name_weights(&wish.model, wish.version, Duration::ZERO, now);
+    }
+
     /// Waits until the link has room for `bytes`.
     async fn pace(&self, bytes: usize) {
         loop {
@@ -386,7 +407,11 @@
         SockRef::from(&stream).set_send_buffer_size(buffer)?;
         let mut connection = overlay::frames(stream);
         let data = match overlay::read_wish(&mut connection).await? {
-            PullWish::Piece(wish) => self.vault.piece(wish.version, wish.piece, HOLD).await,
+            PullWish::Piece(wish) => {
+                self.hear_of(&wish);
+                self.vault.want(wish.version, wish.piece);
+                self.vault.piece(wish.version, wish.piece, HOLD).await
+            }
             PullWish::Digests(wish) => {
                 let digests = self.vault.digests(wish.version, DIGESTS_TIMEOUT / 2).await;
                 digests.map(|digests| Bytes::from(digests.digests.concat()))
--- a/crates/agatepin/src/loader/vault.rs
+++ b/crates/agatepin/src/loader/vault.rs
@@ -1,7 +1,7 @@
 //! Pieces of weights that an agent holds in memory, verified.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,6 +24,8 @@
         pub digests: Option<PieceDigests>,
         /// Pieces that match their digest.
         pub pieces: BTreeMap<u32, Bytes>,
+        /// Pieces that other agents asked for before they were here.
+        pub wanted: BTreeSet<u32>,
     }
 }
 
@@ -85,6 +87,25 @@
         complete.map(|(version, _)| *version).next_back()
     }
 
+    /// Notes that another agent asks for a piece.
+    pub fn want(&self, version: WeightsNumber, piece: u32) {
+        let mut sets = self.sets.borrow_mut();
+        if let Some(set) = sets.get_mut(&version)
+            && !set.pieces.contains_key(&piece)
+        {
+            set.wanted.insert(piece);
+        }
+    }
+
+    /// Pieces that other agents wait for.
+    #[must_use]
+    pub fn wanted(&self, version: WeightsNumber) -> BTreeSet<u32> {
+        let sets = self.sets.borrow();
+        sets.get(&version)
+            .map(|set| set.wanted.clone())
+            .unwrap_or_default()
+    }
+
     /// Forgets all but the newest versions.
     pub fn trim(&self) {
         let mut sets = self.sets.borrow_mut();
--- a/crates/agatepin/src/loader/view.rs
+++ b/crates/agatepin/src/loader/view.rs
@@ -16,7 +16,7 @@
 use crate::relay::ports::{FleetFact, MirrorTable, StoreError, TableStore, WireDialect};
 
 /// Silence after which an entry or agent is forgotten.
-const PEER_SILENCE: Duration = Duration::from_millis(2_500);
+const PEER_SILENCE: Duration = Duration::from_millis(1_200);
 
 agatepin_core::value_type! {
     /// What the agent's engine is to hold, and where it comes from.
@@ -80,7 +80,14 @@
         }
     }
 
-    fn name_weights(&mut self, model: &str, version: WeightsNumber, age: Duration, now: Instant) {
+    /// Takes that `version` of a model was named `age` ago.
+    pub fn name_weights(
+        &mut self,
+        model: &str,
+        version: WeightsNumber,
+        age: Duration,
+        now: Instant,
+    ) {
         let schedule = self.weights.entry(model.to_owned()).or_default();
         if schedule.name(version, age, now) {
             log::info!(model, version; "weights named");
--- a/crates/agatepin/src/relay/daemon.rs
+++ b/crates/agatepin/src/relay/daemon.rs
@@ -365,9 +365,11 @@
 
 impl Speaker {
     async fn run(self) {
+        let news = self.fleet.with(|fleet| fleet.news.clone());
         loop {
             self.speak();
-            sleep(HELLO_INTERVAL).await;
+            // Agents fetch new weights from the moment that they hear of them.
+            let _ = timeout(HELLO_INTERVAL, news.notified()).await;
         }
     }
 
--- a/crates/agatepin/src/relay/fleet.rs
+++ b/crates/agatepin/src/relay/fleet.rs
@@ -52,6 +52,8 @@
     pub suspects: SuspectTracker,
     /// This process is leaving.
     pub leaving: bool,
+    /// Wakes the teller of signs of life where other daemons are to know something at once.
+    pub news: Rc<Notify>,
     allowance: RetryAllowance,
     retries: HashMap<ServiceId, RetryShare>,
 }
@@ -80,6 +82,7 @@
             cold: ColdShare::default(),
             suspects: SuspectTracker::new(SUSPECT_KEEP),
             leaving: false,
+            news: Rc::default(),
             allowance,
             retries: HashMap::new(),
         };
@@ -165,6 +168,7 @@
         let schedule = self.weights.entry(model.to_owned()).or_default();
         if schedule.name(version, age, now) {
             log::info!(model, version; "weights named");
+            self.news.notify_one();
         }
     }
 
