--- a/crates/agatepin/src/relay/call.rs
+++ b/crates/agatepin/src/relay/call.rs
@@ -21,6 +21,7 @@
 use crate::relay::body::{BODY_QUEUE, ReplyBody};
 use crate::relay::fleet::FleetHandle;
 use crate::relay::log_line::RequestLine;
+use crate::relay::metrics::RelayMetrics;
 use crate::relay::ports::{TableStore, WireDialect};
 use crate::relay::refusal::{self, RefusalReason};
 use crate::relay::send::{OpenAnswer, PassedRequest, PlaceGuard, SendFailure, send_once};
@@ -71,6 +72,7 @@
     dialect: Dialect,
     fleet: FleetHandle,
     place: Rc<EntryPlace>,
+    metrics: RelayMetrics,
     store: std::marker::PhantomData<Store>,
 }
 
@@ -83,6 +85,7 @@
             dialect: self.dialect.clone(),
             fleet: self.fleet.clone(),
             place: self.place.clone(),
+            metrics: self.metrics.clone(),
             store: std::marker::PhantomData,
         }
     }
@@ -100,11 +103,17 @@
     Dialect: WireDialect,
 {
     /// A relay for the entry at `place`.
-    pub fn new(dialect: Dialect, fleet: FleetHandle, place: Rc<EntryPlace>) -> Self {
+    pub fn new(
+        dialect: Dialect,
+        fleet: FleetHandle,
+        place: Rc<EntryPlace>,
+        metrics: RelayMetrics,
+    ) -> Self {
         Self {
             dialect,
             fleet,
             place,
+            metrics,
             store: std::marker::PhantomData,
         }
     }
@@ -114,11 +123,14 @@
         let started = Instant::now();
         let (parts, body) = request.into_parts();
         let head = self.dialect.read_request(&parts);
-        let mut line = RequestLine::new(head.id.clone(), started);
+        let mut line = RequestLine::new(head.id.clone(), started, self.metrics.clone());
         let Some(catalog) = self.fleet.with(|fleet| fleet.catalog.clone()) else {
             return refuse(line, RefusalReason::NoConfig);
         };
         line.catalog = catalog.version();
+        if head_bytes(&parts) > catalog.limits().header_bytes {
+            return refuse(line, RefusalReason::HeadTooLarge);
+        }
         let host = host_of(&parts);
         let found = catalog.route(&host, parts.uri.path()).cloned();
         let found = found.and_then(|route| {
@@ -262,6 +274,7 @@
             return Err(RefusalReason::TimeUpUnsent);
         }
         let upstream = admit(&self.fleet, &self.place, &wish).await?;
+        self.metrics.send(&call.service);
         self.fleet.untold.set(true);
         Ok(PlaceGuard::new(self.fleet.clone(), upstream, call.tokens))
     }
@@ -463,6 +476,13 @@
     refusal::reply(reason)
 }
 
+fn head_bytes(parts: &hyper::http::request::Parts) -> usize {
+    let headers = parts.headers.iter();
+    let headers = headers.map(|(name, value)| name.as_str().len() + value.len());
+    let target = parts.uri.path_and_query();
+    headers.sum::<usize>() + target.map_or(0, |target| target.as_str().len())
+}
+
 fn host_of(parts: &hyper::http::request::Parts) -> String {
     let header = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
     let host = parts.uri.host().or(header);
--- a/crates/agatepin/src/relay/daemon.rs
+++ b/crates/agatepin/src/relay/daemon.rs
@@ -20,6 +20,7 @@
 use crate::relay::admit::EntryPlace;
 use crate::relay::call::CallRelay;
 use crate::relay::fleet::{AgentState, FleetHandle};
+use crate::relay::metrics::RelayMetrics;
 use crate::relay::mirror::{self, SharedRows, TableMirror};
 use crate::relay::overlay::{
     self, Datagram, DatagramBody, EngineLoad, EntryHello, EntryRequests, EntryRow, KnownAgent,
@@ -118,14 +119,20 @@
         leaving: leaving.clone(),
         open: open.clone(),
     };
-    let relay: CallRelay<Store, Dialect> =
-        CallRelay::new(dialect.clone(), fleet.clone(), place.clone());
+    let metrics = RelayMetrics::register()?;
+    let relay: CallRelay<Store, Dialect> = CallRelay::new(
+        dialect.clone(),
+        fleet.clone(),
+        place.clone(),
+        metrics.clone(),
+    );
     actix_rt::spawn(bound(front).run(move |request| relay.clone().answer(request)));
     let desk = Rc::new(DirectoryDesk {
         dialect: dialect.clone(),
         fleet: fleet.clone(),
         place: place.clone(),
         own: own.clone(),
+        metrics,
     });
     let mut directory = options.directory;
     for address in BTreeSet::from([options.ready, options.directory]) {
--- a/crates/agatepin/src/relay/log_line.rs
+++ b/crates/agatepin/src/relay/log_line.rs
@@ -1,14 +1,17 @@
 //! The line that each request leaves in the log.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use agatepin_core::ids::UpstreamId;
 
+use crate::relay::metrics::RelayMetrics;
+
 /// What is told of a request when it ends, also where its caller left.
 #[derive(Debug)]
 pub struct RequestLine {
     id: String,
     started: Instant,
+    metrics: RelayMetrics,
     /// Route that was taken.
     pub route: String,
     /// Customer of the caller.
@@ -21,24 +24,24 @@
     pub outcome: &'static str,
     /// Status that the caller got; 0 where it left.
     pub status: u16,
-    /// Milliseconds to the head of the answer.
-    pub head_ms: Option<u128>,
+    head: Option<Duration>,
 }
 
 impl RequestLine {
     /// A line for the request `id`, which just came.
     #[must_use]
-    pub fn new(id: String, started: Instant) -> Self {
+    pub fn new(id: String, started: Instant, metrics: RelayMetrics) -> Self {
         Self {
             id,
             started,
+            metrics,
             route: String::new(),
             customer: String::new(),
             catalog: 0,
             sent_to: Vec::new(),
             outcome: "caller_left",
             status: 0,
-            head_ms: None,
+            head: None,
         }
     }
 
@@ -46,14 +49,16 @@
     pub fn head(&mut self, status: u16, outcome: &'static str) {
         self.status = status;
         self.outcome = outcome;
-        self.head_ms = Some(self.started.elapsed().as_millis());
+        self.head = Some(self.started.elapsed());
     }
 }
 
 impl Drop for RequestLine {
     fn drop(&mut self) {
         let ms = u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX);
-        let head_ms = self.head_ms.and_then(|ms| u64::try_from(ms).ok());
+        let head_ms = self.head.map(|head| head.as_millis());
+        let head_ms = head_ms.and_then(|ms| u64::try_from(ms).ok());
+        self.metrics.request(self.outcome, self.head);
         log::info!(
             request = self.id,
             route = self.route,
--- a/crates/agatepin/src/relay/mod.rs
+++ b/crates/agatepin/src/relay/mod.rs
@@ -10,6 +10,7 @@
 pub mod fleet;
 pub mod http_client;
 pub mod log_line;
+pub mod metrics;
 pub mod mirror;
 pub mod overlay;
 pub mod ports;
--- a/crates/agatepin/src/relay/ports.rs
+++ b/crates/agatepin/src/relay/ports.rs
@@ -93,8 +93,6 @@
         pub last_event: Option<u64>,
         /// Tokens of the prompt.
         pub prompt_tokens: u32,
-        /// Most tokens of the answer, or the caller's estimate of them.
-        pub answer_tokens: u32,
     }
 
     /// What an entry tells an upstream with a request.
--- a/crates/agatepin/src/relay/refusal.rs
+++ b/crates/agatepin/src/relay/refusal.rs
@@ -20,6 +20,8 @@
         UnknownKey,
         /// The request is malformed.
         Malformed,
+        /// The head is too long.
+        HeadTooLarge,
         /// The body is too long.
         TooLarge,
         /// The request did not come in whole in time.
@@ -55,6 +57,7 @@
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
             Self::Malformed => "malformed",
+            Self::HeadTooLarge => "head_too_large",
             Self::TooLarge => "too_large",
             Self::Slow => "slow_request",
             Self::Full => "full",
@@ -74,6 +77,7 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::Malformed => StatusCode::BAD_REQUEST,
+            Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Slow => StatusCode::REQUEST_TIMEOUT,
             Self::Broken => StatusCode::BAD_GATEWAY,
--- a/crates/agatepin/src/relay/server.rs
+++ b/crates/agatepin/src/relay/server.rs
@@ -13,13 +13,15 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use serde_json::json;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::relay::admit::EntryPlace;
 use crate::relay::body::ReplyBody;
-use crate::relay::fleet::FleetHandle;
+use crate::relay::fleet::{FleetHandle, FleetState};
+use crate::relay::metrics::RelayMetrics;
 use crate::relay::ports::WireDialect;
 
 /// Time for which callers may keep an answer of the directory.
@@ -114,6 +116,8 @@
     pub place: Rc<EntryPlace>,
     /// This entry as callers see it.
     pub own: EntryListing,
+    /// Metrics of the entry.
+    pub metrics: RelayMetrics,
 }
 
 impl<Dialect> DirectoryDesk<Dialect>
@@ -132,7 +136,7 @@
             });
         }
         let Some(question) = self.dialect.read_question(uri) else {
-            return plain(StatusCode::NOT_FOUND);
+            return self.answer_operator(uri.path());
         };
         let ready = self.fleet.is_ready();
         let own = Some(&self.own).filter(|_| ready);
@@ -154,6 +158,58 @@
     }
 }
 
+impl<Dialect> DirectoryDesk<Dialect> {
+    /// Metrics and the state dump.
+    fn answer_operator(&self, path: &str) -> Response<ReplyBody> {
+        let body = match path {
+            "/metrics" => self.metrics.encode().map_err(|err| err.to_string()),
+            "/dump" => Ok(self.fleet.with(|fleet| dump(fleet, &self.place.name))),
+            _ => return plain(StatusCode::NOT_FOUND),
+        };
+        match body {
+            Ok(body) => Response::new(ReplyBody::from(Bytes::from(body))),
+            Err(err) => {
+                log::warn!(path, err; "metrics not written");
+                plain(StatusCode::INTERNAL_SERVER_ERROR)
+            }
+        }
+    }
+}
+
+/// State of an entry as JSON: what it believes, and how it counts its upstreams.
+fn dump(fleet: &FleetState, own: &str) -> String {
+    let now = Instant::now();
+    let upstreams = fleet.book.iter().map(|(id, state)| {
+        json!({
+            "id": id, "service": state.listing.service, "address": state.listing.address,
+            "data_centre": state.listing.data_centre, "draining": state.listing.draining,
+            "usable": state.is_usable(now), "cold": state.is_cold(now),
+            "weights": state.weights(now), "load": state.load(now), "unread": state.unread(now),
+            "own_in_flight": state.own.in_flight,
+        })
+    });
+    let weights = fleet.weights.iter().map(|(model, schedule)| {
+        let named = schedule
+            .named(now)
+            .map(|(version, age)| json!({ "version": version, "age_s": age.as_secs_f64() }));
+        json!({
+            "model": model, "required": schedule.required(now),
+            "named": named.collect::<Vec<_>>(),
+        })
+    });
+    let state = json!({
+        "entry": own,
+        "leaving": fleet.leaving,
+        "catalog": fleet.catalog.as_ref().map(|catalog| catalog.version()),
+        "evacuated": fleet.book.evacuated().collect::<Vec<_>>(),
+        "entries_alive": fleet.entries.alive_names(own, now).collect::<Vec<_>>(),
+        "agents": fleet.agents.len(),
+        "weights": weights.collect::<Vec<_>>(),
+        "upstreams": upstreams.collect::<Vec<_>>(),
+    });
+    state.to_string()
+}
+
 fn plain(status: StatusCode) -> Response<ReplyBody> {
     let mut response = Response::new(ReplyBody::from(Bytes::new()));
     *response.status_mut() = status;
--- a/crates/core/src/relay/catalog.rs
+++ b/crates/core/src/relay/catalog.rs
@@ -75,8 +75,6 @@
         pub home_regions: Vec<RegionId>,
         /// Callers need no key.
         pub anonymous: bool,
-        /// Longest pause between two events of a stream.
-        pub gap: Option<Duration>,
     }
 
     /// How fast an engine works.
@@ -97,16 +95,8 @@
     pub struct EngineSpec {
         /// Model that they serve.
         pub model: ModelId,
-        /// Layers of the model.
-        pub layers: u32,
         /// Pieces that one version of the weights is made of.
         pub pieces: u32,
-        /// Length of a piece in bytes.
-        pub piece_bytes: u32,
-        /// Requests that run at once.
-        pub slots: u32,
-        /// Time to load the weights into an engine.
-        pub load_time: Duration,
         /// How fast an engine works.
         pub pace: EnginePace,
     }
@@ -137,8 +127,6 @@
         pub header_bytes: usize,
         /// Most bytes of a request's body.
         pub body_bytes: usize,
-        /// Time in which a connection may stay idle.
-        pub idle: Duration,
     }
 
     /// All that operators declare for the direct path, as it is decoded.
--- a/crates/core/tests/relay/setups.rs
+++ b/crates/core/tests/relay/setups.rs
@@ -40,18 +40,13 @@
         priority: 0,
         home_regions: Vec::new(),
         anonymous: false,
-        gap: None,
     }
 }
 
 pub fn engine() -> EngineSpec {
     EngineSpec {
         model: "m".to_owned(),
-        layers: 16,
         pieces: 48,
-        piece_bytes: 1024,
-        slots: 4,
-        load_time: Duration::from_millis(300),
         pace: EnginePace {
             step: Duration::from_millis(7),
             step_per_request: Duration::ZERO,
@@ -84,7 +79,6 @@
         limits: CallerLimits {
             header_bytes: 16_384,
             body_bytes: 1_000,
-            idle: Duration::from_secs(15),
         },
     }
 }
