--- a/crates/agatepin/src/relay/daemon.rs
+++ b/crates/agatepin/src/relay/daemon.rs
@@ -83,7 +83,7 @@
     closing: CancellationToken,
     leaving: CancellationToken,
     open: TaskTracker,
-    hello: Rc<dyn Fn()>,
+    speaker: Speaker,
 }
 
 /// Binds the sockets and starts the tasks of an entry.
@@ -170,9 +170,8 @@
         name: place.name.clone(),
         own: own.clone(),
     };
-    let hello = speaker.clone();
     actix_rt::spawn(speaker.clone().tell_requests());
-    actix_rt::spawn(speaker.run());
+    actix_rt::spawn(speaker.clone().run());
     actix_rt::spawn(list_entry(store.clone(), place.name.clone(), own.clone()));
     log::info!(entry = place.name, front:% = own.front; "entry started");
     Ok(RelayEntry {
@@ -185,7 +184,7 @@
         closing,
         leaving,
         open,
-        hello: Rc::new(move || hello.speak()),
+        speaker,
     })
 }
 
@@ -198,7 +197,7 @@
     pub async fn leave(self) {
         let started = Instant::now();
         self.fleet.with(|fleet| fleet.leaving = true);
-        (self.hello)();
+        self.speaker.speak();
         log::info!(entry = self.name; "graceful shutdown begins");
         self.leaving.cancel();
         let removal = self.store.write_entry(&self.name, None);
--- a/crates/core/src/relay/liveness.rs
+++ b/crates/core/src/relay/liveness.rs
@@ -118,22 +118,27 @@
         });
         let mut entries: Vec<&EntryListing> = ready.map(|(_, state)| &state.listing).collect();
         entries.extend(own);
-        let near = |wanted: &dyn Fn(&EntryListing) -> bool| -> Vec<SocketAddr> {
-            let chosen = entries.iter().filter(|listing| wanted(listing));
-            chosen.map(|listing| listing.front).collect()
-        };
-        let here = near(&|listing| listing.data_centre == data_centre);
+        let here = fronts_where(&entries, |listing| listing.data_centre == data_centre);
         if !here.is_empty() {
             return here;
         }
-        let region = near(&|listing| listing.region == region);
-        if !region.is_empty() {
-            return region;
+        let near = fronts_where(&entries, |listing| listing.region == region);
+        if !near.is_empty() {
+            return near;
         }
-        near(&|_| true)
+        fronts_where(&entries, |_| true)
     }
 }
 
+/// Addresses for callers of the entries that `wanted` takes.
+fn fronts_where<Wanted>(entries: &[&EntryListing], wanted: Wanted) -> Vec<SocketAddr>
+where
+    Wanted: Fn(&EntryListing) -> bool,
+{
+    let chosen = entries.iter().filter(|listing| wanted(listing));
+    chosen.map(|listing| listing.front).collect()
+}
+
 fn is_alive(state: &EntryState, now: Instant) -> bool {
     let (since, allowed) = match state.heard {
         Some(heard) => (heard, SILENCE),
