Bounded control traffic: rosters from three entries of a region, each change of load to its entries only

Cause: each entry told each agent twice a second of all agents (3.5 KB at 99 agents), and each agent told each entry of every change of its load. Ruled out: processor time (entries 0.022 of 0.24 cores), the origin's link (8.5 copies were a consequence: agents went to it after 5 s). Now: an entry's sign of life goes to entries only; the roster, in binary addresses, to the agents for which the entry is among the best three of their region by rank. Agents tell each change to at most 16 entries of their region, others what is more than load, or every 400 ms. core::relay::subset with tests; datagrams, rows of entries, listener and speaker have files of their own.

--- a/crates/agatepin/src/loader/beat.rs
+++ b/crates/agatepin/src/loader/beat.rs
@@ -5,6 +5,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use agatepin_core::ids::RegionId;
+use agatepin_core::relay::subset;
 use prost::Message;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
@@ -12,7 +14,7 @@
 use crate::loader::swap::SwapFlag;
 use crate::loader::vault::PieceVault;
 use crate::loader::view::SharedView;
-use crate::relay::overlay::{Datagram, DatagramBody, EngineLoad};
+use crate::relay::datagram::{Datagram, DatagramBody, EngineLoad};
 use crate::relay::ports::{EnginePort, EngineState};
 
 /// Time between two reads of the engine's state.
@@ -60,8 +62,10 @@
     pub beat: EngineBeat,
     /// Its address.
     pub address: SocketAddr,
+    /// Address of the agent for other daemons.
+    pub overlay: SocketAddr,
     /// Region of the agent.
-    pub region: String,
+    pub region: RegionId,
     /// Pieces that are held.
     pub vault: PieceVault,
     /// The fleet.
@@ -78,7 +82,8 @@
 {
     /// Runs for good.
     pub async fn run(self) {
-        let mut told: Option<(EngineLoad, Instant)> = None;
+        let mut near = LastReport::default();
+        let mut far = LastReport::default();
         loop {
             let state = self.engine.state().await;
             if let Err(err) = &state {
@@ -87,12 +92,10 @@
             self.beat.read(state.ok());
             let load = self.load();
             let now = Instant::now();
-            let due = told.as_ref().is_none_or(|(last, at)| {
-                *last != load || now.saturating_duration_since(*at) >= REPORT_INTERVAL
-            });
-            if due {
-                self.tell(&load, now);
-                told = Some((load, now));
+            let near_due = near.is_due(&load, |last| *last != load, now);
+            let far_due = far.is_due(&load, |last| differs_in_state(last, &load), now);
+            if near_due || far_due {
+                self.tell(&load, near_due, far_due, now);
             }
             sleep(BEAT_INTERVAL).await;
         }
@@ -113,15 +116,47 @@
         }
     }
 
-    fn tell(&self, load: &EngineLoad, now: Instant) {
+    fn tell(&self, load: &EngineLoad, near: bool, far: bool, now: Instant) {
         let data = Datagram {
             body: Some(DatagramBody::Load(load.clone())),
         };
         let data = data.encode_to_vec();
-        for entry in self.view.borrow_mut().entries(now) {
+        let mut view = self.view.borrow_mut();
+        let entries: Vec<_> = view.entries(now).collect();
+        let watchers = subset::watchers(self.overlay, &self.region, &entries);
+        for (entry, _) in entries {
+            let due = if watchers.contains(&entry) { near } else { far };
+            if !due {
+                continue;
+            }
             if let Err(err) = self.socket.try_send_to(&data, entry) {
                 log::debug!("report to {entry} not sent: {err}");
             }
         }
     }
 }
+
+/// The last report to some of the entries.
+#[derive(Default)]
+struct LastReport(Option<(EngineLoad, Instant)>);
+
+impl LastReport {
+    /// Whether `load` is to be reported now; then it counts as reported.
+    fn is_due<Changed>(&mut self, load: &EngineLoad, changed: Changed, now: Instant) -> bool
+    where
+        Changed: Fn(&EngineLoad) -> bool,
+    {
+        let due = self.0.as_ref().is_none_or(|(last, at)| {
+            changed(last) || now.saturating_duration_since(*at) >= REPORT_INTERVAL
+        });
+        if due {
+            self.0 = Some((load.clone(), now));
+        }
+        due
+    }
+}
+
+/// Whether more than the load has changed.
+fn differs_in_state(old: &EngineLoad, new: &EngineLoad) -> bool {
+    (old.up, old.weights, old.busy, old.holds) != (new.up, new.weights, new.busy, new.holds)
+}
--- a/crates/agatepin/src/loader/daemon.rs
+++ b/crates/agatepin/src/loader/daemon.rs
@@ -16,11 +16,9 @@
 use crate::loader::swap::{SwapFlag, WeightSwapper};
 use crate::loader::vault::PieceVault;
 use crate::loader::view::{self, SharedView};
-use crate::relay::overlay::{Datagram, DatagramBody};
+use crate::relay::datagram::{Datagram, DatagramBody, MAX_DATAGRAM_BYTES};
 use crate::relay::ports::{EnginePort, TableStore, WireDialect};
 
-/// Largest datagram, in bytes.
-const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
 /// Pause after a failure of a socket or the store.
 const FAILURE_PAUSE: Duration = Duration::from_millis(400);
 /// Silence of all entries after which the store is read again.
@@ -83,6 +81,7 @@
         engine: engine.clone(),
         beat: beat.clone(),
         address: options.engine,
+        overlay,
         region: options.region.clone(),
         vault: vault.clone(),
         view: view.clone(),
@@ -147,8 +146,8 @@
         };
         match Datagram::decode(&buffer[..length]) {
             Ok(Datagram {
-                body: Some(DatagramBody::Hello(hello)),
-            }) => view.borrow_mut().hear(from, hello, Instant::now()),
+                body: Some(DatagramBody::Roster(roster)),
+            }) => view.borrow_mut().hear(roster, Instant::now()),
             Ok(_) => {}
             Err(err) => log::debug!("datagram from {from} left out: {err}"),
         }
--- a/crates/agatepin/src/loader/view.rs
+++ b/crates/agatepin/src/loader/view.rs
@@ -12,7 +12,8 @@
 use agatepin_core::relay::schedule::WeightsSchedule;
 use agatepin_core::relay::sources::PieceAgent;
 
-use crate::relay::overlay::{EntryHello, EntryRow};
+use crate::relay::datagram::FleetRoster;
+use crate::relay::entry_rows::EntryRow;
 use crate::relay::ports::{FleetFact, MirrorTable, StoreError, TableStore, WireDialect};
 
 /// Silence after which an entry or agent is forgotten.
@@ -37,7 +38,7 @@
 pub struct FleetView {
     catalog: Option<RouteCatalog>,
     weights: BTreeMap<ModelId, WeightsSchedule>,
-    entries: BTreeMap<SocketAddr, Instant>,
+    entries: BTreeMap<SocketAddr, (RegionId, Instant)>,
     agents: BTreeMap<SocketAddr, (PieceAgent, Instant)>,
     heard: Option<Instant>,
 }
@@ -58,26 +59,30 @@
         self.catalog.is_some()
     }
 
-    /// Takes an entry's sign of life from `from`.
-    pub fn hear(&mut self, from: SocketAddr, hello: EntryHello, now: Instant) {
+    /// Takes what an entry tells of the fleet.
+    pub fn hear(&mut self, roster: FleetRoster, now: Instant) {
         self.heard = Some(now);
-        self.entries.insert(from, now);
-        for named in hello.weights {
-            let age = Duration::from_millis(named.age_ms);
-            self.name_weights(&named.model, named.version, age, now);
+        for entry in &roster.entries {
+            let Some((overlay, region)) = roster.place(entry) else {
+                continue;
+            };
+            self.entries.insert(overlay, (region.clone(), now));
         }
-        for known in hello.agents {
-            let Ok(overlay) = known.overlay.parse() else {
+        for known in &roster.agents {
+            let Some((overlay, region)) = roster.place(known) else {
                 continue;
             };
-            let holds = Some(known.holds).filter(|version| *version > 0);
             let agent = PieceAgent {
                 overlay,
-                region: known.region,
-                holds,
+                region: region.clone(),
+                holds: Some(known.holds).filter(|version| *version > 0),
             };
             self.agents.insert(overlay, (agent, now));
         }
+        for named in roster.weights {
+            let age = Duration::from_millis(named.age_ms);
+            self.name_weights(&named.model, named.version, age, now);
+        }
     }
 
     /// Takes that `version` of a model was named `age` ago.
@@ -105,11 +110,12 @@
         self.weights.get(model)?.required(now)
     }
 
-    /// Entries that are told the load.
-    pub fn entries(&mut self, now: Instant) -> Vec<SocketAddr> {
+    /// Entries that are told the load, with their regions.
+    pub fn entries(&mut self, now: Instant) -> impl Iterator<Item = (SocketAddr, &RegionId)> {
         let fresh = |at: &Instant| now.saturating_duration_since(*at) < PEER_SILENCE;
-        self.entries.retain(|_, at| fresh(at));
-        self.entries.keys().copied().collect()
+        self.entries.retain(|_, (_, at)| fresh(at));
+        let all = self.entries.iter();
+        all.map(|(entry, (region, _))| (*entry, region))
     }
 
     /// Agents that may have pieces.
@@ -170,7 +176,8 @@
             if table == MirrorTable::Entries {
                 let listing = row.value.as_ref().map(|value| EntryRow::parse(value));
                 if let Some(Ok(listing)) = listing {
-                    view.borrow_mut().entries.insert(listing.overlay, now);
+                    let entry = (listing.region, now);
+                    view.borrow_mut().entries.insert(listing.overlay, entry);
                 }
                 continue;
             }
--- a/crates/agatepin/src/relay/daemon.rs
+++ b/crates/agatepin/src/relay/daemon.rs
@@ -1,17 +1,13 @@
 //! The entry on the direct path: its sockets, tasks and its graceful shutdown.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use agatepin_core::ids::ContentDigest;
-use agatepin_core::poison::SuspectKey;
-use agatepin_core::relay::book::{EngineReport, EntryLoad};
 use agatepin_core::relay::liveness::EntryListing;
 use agatepin_core::relay::share::RetryAllowance;
 use eyre::{Result, WrapErr};
-use prost::Message;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
@@ -19,28 +15,16 @@
 
 use crate::relay::admit::EntryPlace;
 use crate::relay::call::CallRelay;
-use crate::relay::fleet::{AgentState, FleetHandle};
+use crate::relay::entry_rows::EntryRow;
+use crate::relay::fleet::FleetHandle;
+use crate::relay::listener;
 use crate::relay::metrics::RelayMetrics;
 use crate::relay::mirror::{self, SharedRows, TableMirror};
-use crate::relay::overlay::{
-    self, Datagram, DatagramBody, EngineLoad, EntryHello, EntryRequests, EntryRow, KnownAgent,
-    NamedWeights, PullAnswer, PullWish, SuspectNews, UpstreamRequests,
-};
+use crate::relay::overlay::{self, PullAnswer, PullWish};
 use crate::relay::ports::{MirrorTable, TableStore, WireDialect};
 use crate::relay::server::{DirectoryDesk, HttpServer};
+use crate::relay::speaker::Speaker;
 
-/// Time between two signs of life.
-const HELLO_INTERVAL: Duration = Duration::from_millis(500);
-/// Time in which changes of an entry's requests are gathered before others are told.
-const TELL_INTERVAL: Duration = Duration::from_millis(15);
-/// Time after which they are told again without a change.
-const TELL_AGAIN: Duration = Duration::from_millis(300);
-/// Silence after which an agent is forgotten.
-const AGENT_SILENCE: Duration = Duration::from_millis(1_500);
-/// Largest datagram, in bytes.
-const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
-/// Most suspects told in one datagram.
-const MAX_SUSPECTS_TOLD: usize = 32;
 /// Pause before the entries' row is written again after a failure.
 const ROW_RETRY: Duration = Duration::from_millis(400);
 /// Time for which a leaving entry takes new connections: callers keep the directory's answer.
@@ -163,7 +147,7 @@
     actix_rt::spawn(serve_rows(pulls, mirror.rows()));
     let socket = UdpSocket::bind(own.overlay).await;
     let socket = Rc::new(socket.wrap_err_with(|| format!("cannot bind {}", own.overlay))?);
-    actix_rt::spawn(hear(socket.clone(), fleet.clone()));
+    actix_rt::spawn(listener::hear(socket.clone(), fleet.clone()));
     let speaker = Speaker {
         socket,
         fleet: fleet.clone(),
@@ -270,221 +254,3 @@
     let read = table.and_then(|table| mirror::newer_rows(rows, table, wish.after));
     read.map(PullAnswer::from).unwrap_or_default()
 }
-
-async fn hear(socket: Rc<UdpSocket>, fleet: FleetHandle) {
-    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
-    loop {
-        let (length, from) = match socket.recv_from(&mut buffer).await {
-            Ok(received) => received,
-            Err(err) => {
-                log::warn!(err:%; "datagram not received");
-                sleep(ROW_RETRY).await;
-                continue;
-            }
-        };
-        let body = match Datagram::decode(&buffer[..length]) {
-            Ok(datagram) => datagram.body,
-            Err(err) => {
-                log::debug!("datagram from {from} left out: {err}");
-                continue;
-            }
-        };
-        match body {
-            Some(DatagramBody::Hello(hello)) => take_hello(&fleet, from, hello),
-            Some(DatagramBody::Load(load)) => take_load(&fleet, from, load),
-            Some(DatagramBody::Requests(requests)) => take_requests(&fleet, requests),
-            None => {}
-        }
-    }
-}
-
-fn take_hello(fleet: &FleetHandle, from: SocketAddr, hello: EntryHello) {
-    let now = Instant::now();
-    let listing = match hello.listing(from) {
-        Ok(listing) => listing,
-        Err(err) => return log::debug!("sign of life from {from} left out: {err}"),
-    };
-    fleet.with(|fleet| {
-        fleet.entries.heard(&hello.name, listing, hello.ready, now);
-        for named in hello.weights {
-            let age = Duration::from_millis(named.age_ms);
-            fleet.learn_weights(&named.model, named.version, age, now);
-        }
-        for news in hello.suspects {
-            let Some(digest) = ContentDigest::from_slice(&news.digest) else {
-                continue;
-            };
-            let key = SuspectKey {
-                customer: news.customer,
-                body_digest: digest,
-            };
-            fleet.suspects.learn(key, news.witnesses, now);
-        }
-    });
-}
-
-fn take_requests(fleet: &FleetHandle, requests: EntryRequests) {
-    let loads = requests.loads.into_iter().map(|load| {
-        let entry_load = EntryLoad {
-            in_flight: load.in_flight,
-            unread: load.unread,
-        };
-        (load.upstream, entry_load)
-    });
-    let loads: HashMap<_, _> = loads.collect();
-    fleet.with(|fleet| fleet.book.peer(&requests.name, &loads, Instant::now()));
-    fleet.freed.notify_one();
-}
-
-fn take_load(fleet: &FleetHandle, from: SocketAddr, load: EngineLoad) {
-    let now = Instant::now();
-    let Ok(engine) = load.engine.parse::<SocketAddr>() else {
-        return log::debug!("report from {from} names no engine");
-    };
-    let report = EngineReport {
-        up: load.up,
-        weights: Some(load.weights).filter(|version| *version > 0),
-        busy: load.busy,
-        active: load.active,
-        queued: load.queued,
-    };
-    let agent = AgentState {
-        region: load.region,
-        holds: Some(load.holds).filter(|version| *version > 0),
-        heard: now,
-    };
-    fleet.with(|fleet| {
-        fleet.book.report(engine, report, now);
-        fleet.agents.insert(from, agent);
-    });
-    fleet.freed.notify_one();
-}
-
-/// Tells the other daemons that this entry lives, and what it knows.
-#[derive(Clone)]
-struct Speaker {
-    socket: Rc<UdpSocket>,
-    fleet: FleetHandle,
-    name: String,
-    own: EntryListing,
-}
-
-impl Speaker {
-    async fn run(self) {
-        let news = self.fleet.with(|fleet| fleet.news.clone());
-        loop {
-            self.speak();
-            // Agents fetch new weights from the moment that they hear of them.
-            let _ = timeout(HELLO_INTERVAL, news.notified()).await;
-        }
-    }
-
-    /// Tells the entries of the region this entry's requests, soon after they change.
-    async fn tell_requests(self) {
-        let mut told = Instant::now();
-        loop {
-            sleep(TELL_INTERVAL).await;
-            let now = Instant::now();
-            let old = now.saturating_duration_since(told) >= TELL_AGAIN;
-            if !self.fleet.untold.replace(false) && !old {
-                continue;
-            }
-            told = now;
-            let (data, peers) = self.fleet.with(|fleet| {
-                let loads = fleet
-                    .book
-                    .own_loads()
-                    .map(|(upstream, load)| UpstreamRequests {
-                        upstream: upstream.clone(),
-                        in_flight: load.in_flight,
-                        unread: load.unread,
-                    });
-                let requests = EntryRequests {
-                    name: self.name.clone(),
-                    loads: loads.collect(),
-                };
-                let data = Datagram {
-                    body: Some(DatagramBody::Requests(requests)),
-                };
-                let alive = fleet.entries.alive(&self.name, now);
-                let near = alive.filter(|listing| listing.region == self.own.region);
-                let peers: Vec<SocketAddr> = near.map(|listing| listing.overlay).collect();
-                (data.encode_to_vec(), peers)
-            });
-            for peer in peers {
-                if let Err(err) = self.socket.try_send_to(&data, peer) {
-                    log::debug!("requests not told to {peer}: {err}");
-                }
-            }
-        }
-    }
-
-    fn speak(&self) {
-        let now = Instant::now();
-        let hello = self.hello(now);
-        let data = Datagram {
-            body: Some(DatagramBody::Hello(hello)),
-        };
-        let data = data.encode_to_vec();
-        for peer in self.peers() {
-            if let Err(err) = self.socket.try_send_to(&data, peer) {
-                log::debug!("sign of life to {peer} not sent: {err}");
-            }
-        }
-    }
-
-    fn hello(&self, now: Instant) -> EntryHello {
-        let ready = self.fleet.is_ready();
-        self.fleet.with(|fleet| {
-            fleet
-                .agents
-                .retain(|_, agent| now.saturating_duration_since(agent.heard) < AGENT_SILENCE);
-            let named = fleet.weights.iter().flat_map(|(model, schedule)| {
-                schedule.named(now).map(|(version, age)| NamedWeights {
-                    model: model.clone(),
-                    version,
-                    age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
-                })
-            });
-            let agents = fleet.agents.iter().map(|(overlay, agent)| KnownAgent {
-                overlay: overlay.to_string(),
-                region: agent.region.clone(),
-                holds: agent.holds.unwrap_or_default(),
-            });
-            let suspects = fleet.suspects.news().take(MAX_SUSPECTS_TOLD);
-            let suspects = suspects.map(|(key, witnesses)| SuspectNews {
-                customer: key.customer.clone(),
-                digest: key.body_digest.as_bytes().to_vec(),
-                witnesses: witnesses.iter().cloned().collect(),
-            });
-            EntryHello {
-                name: self.name.clone(),
-                incarnation: self.own.incarnation,
-                ready,
-                weights: named.collect(),
-                agents: agents.collect(),
-                suspects: suspects.collect(),
-                front: self.own.front.to_string(),
-                data_centre: self.own.data_centre.clone(),
-                region: self.own.region.clone(),
-            }
-        })
-    }
-
-    /// Other entries, agents that were heard, and those beside listed engines.
-    fn peers(&self) -> BTreeSet<SocketAddr> {
-        self.fleet.with(|fleet| {
-            let entries = fleet.entries.others(&self.name);
-            let mut peers: BTreeSet<SocketAddr> =
-                entries.map(|(_, listing)| listing.overlay).collect();
-            peers.extend(fleet.agents.keys().copied());
-            let engines = fleet.book.iter();
-            let engines = engines.filter(|(_, state)| state.listing.weights.is_some());
-            let port = self.own.overlay.port();
-            peers.extend(
-                engines.map(|(_, state)| SocketAddr::new(state.listing.address.ip(), port)),
-            );
-            peers
-        })
-    }
-}
--- /dev/null
+++ b/crates/agatepin/src/relay/datagram.rs
@@ -0,0 +1,243 @@
+//! Datagrams between daemons: signs of life, load of engines, the roster of the fleet. They carry
+//! what is sent again anyway.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+use agatepin_core::ids::RegionId;
+use agatepin_core::relay::catalog::WeightsNumber;
+use agatepin_core::relay::liveness::EntryListing;
+use eyre::{Result, WrapErr};
+use prost::Message;
+
+/// Largest datagram, in bytes.
+pub const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
+
+/// A datagram between daemons.
+#[derive(Clone, PartialEq, Message)]
+pub struct Datagram {
+    /// What it carries.
+    #[prost(oneof = "DatagramBody", tags = "1, 2, 3, 4")]
+    pub body: Option<DatagramBody>,
+}
+
+/// What a datagram carries.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum DatagramBody {
+    /// From an entry to the other entries.
+    #[prost(message, tag = "1")]
+    Hello(EntryHello),
+    /// From an agent.
+    #[prost(message, tag = "2")]
+    Load(EngineLoad),
+    /// From an entry of the same region.
+    #[prost(message, tag = "3")]
+    Requests(EntryRequests),
+    /// From an entry to the agents that it tells of the fleet.
+    #[prost(message, tag = "4")]
+    Roster(FleetRoster),
+}
+
+/// Requests of an entry at upstreams.
+#[derive(Clone, PartialEq, Message)]
+pub struct EntryRequests {
+    /// Name of the entry.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Upstreams that have any.
+    #[prost(message, repeated, tag = "2")]
+    pub loads: Vec<UpstreamRequests>,
+}
+
+/// Requests of an entry at one upstream.
+#[derive(Clone, PartialEq, Message)]
+pub struct UpstreamRequests {
+    /// Upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// Requests in flight.
+    #[prost(uint32, tag = "2")]
+    pub in_flight: u32,
+    /// Prompt tokens of those whose answer has not begun.
+    #[prost(uint32, tag = "3")]
+    pub unread: u32,
+}
+
+/// An entry's sign of life.
+#[derive(Clone, PartialEq, Message)]
+pub struct EntryHello {
+    /// Name of the entry.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Its incarnation.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// It takes callers.
+    #[prost(bool, tag = "3")]
+    pub ready: bool,
+    /// Weights that it knows to be named.
+    #[prost(message, repeated, tag = "4")]
+    pub weights: Vec<NamedWeights>,
+    /// Requests that crashed upstreams.
+    #[prost(message, repeated, tag = "6")]
+    pub suspects: Vec<SuspectNews>,
+    /// Address for callers.
+    #[prost(string, tag = "7")]
+    pub front: String,
+    /// Data centre.
+    #[prost(string, tag = "8")]
+    pub data_centre: String,
+    /// Region of the data centre.
+    #[prost(string, tag = "9")]
+    pub region: String,
+}
+
+impl EntryHello {
+    /// The entry that sent this from `overlay`.
+    ///
+    /// # Errors
+    /// Its address is not one.
+    pub fn listing(&self, overlay: SocketAddr) -> Result<EntryListing> {
+        let front = self.front.parse();
+        Ok(EntryListing {
+            incarnation: self.incarnation,
+            front: front.wrap_err_with(|| format!("entry {} has no address", self.name))?,
+            overlay,
+            data_centre: self.data_centre.clone(),
+            region: self.region.clone(),
+        })
+    }
+}
+
+/// A model's named version.
+#[derive(Clone, PartialEq, Message)]
+pub struct NamedWeights {
+    /// Model.
+    #[prost(string, tag = "1")]
+    pub model: String,
+    /// Version.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    /// Milliseconds since it was named, as far as the entry knows.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
+}
+
+/// What an entry tells agents of the fleet.
+#[derive(Clone, PartialEq, Message)]
+pub struct FleetRoster {
+    /// Weights that it knows to be named.
+    #[prost(message, repeated, tag = "1")]
+    pub weights: Vec<NamedWeights>,
+    /// Regions that the daemons below are in.
+    #[prost(string, repeated, tag = "2")]
+    pub regions: Vec<String>,
+    /// Entries that it takes for alive, with itself.
+    #[prost(message, repeated, tag = "3")]
+    pub entries: Vec<KnownDaemon>,
+    /// Agents that it hears.
+    #[prost(message, repeated, tag = "4")]
+    pub agents: Vec<KnownDaemon>,
+}
+
+/// A daemon in a roster.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct KnownDaemon {
+    /// IPv4 address.
+    #[prost(fixed32, tag = "1")]
+    pub ip: u32,
+    /// Port for other daemons.
+    #[prost(uint32, tag = "2")]
+    pub port: u32,
+    /// Place of its region in the roster.
+    #[prost(uint32, tag = "3")]
+    pub region: u32,
+    /// Version whose pieces an agent holds completely; 0 for none.
+    #[prost(uint64, tag = "4")]
+    pub holds: u64,
+}
+
+impl FleetRoster {
+    /// Adds an entry.
+    pub fn add_entry(&mut self, overlay: SocketAddr, region: &str) {
+        let entry = self.daemon(overlay, region, 0);
+        self.entries.extend(entry);
+    }
+
+    /// Adds an agent that holds the pieces of a version.
+    pub fn add_agent(&mut self, overlay: SocketAddr, region: &str, holds: Option<WeightsNumber>) {
+        let agent = self.daemon(overlay, region, holds.unwrap_or_default());
+        self.agents.extend(agent);
+    }
+
+    /// The address and region of one of its daemons; none where it is malformed.
+    #[must_use]
+    pub fn place(&self, daemon: &KnownDaemon) -> Option<(SocketAddr, &RegionId)> {
+        let region = self.regions.get(daemon.region as usize)?;
+        let port = u16::try_from(daemon.port).ok()?;
+        Some((
+            SocketAddr::new(Ipv4Addr::from(daemon.ip).into(), port),
+            region,
+        ))
+    }
+
+    fn daemon(&mut self, overlay: SocketAddr, region: &str, holds: u64) -> Option<KnownDaemon> {
+        // The platform's machines have IPv4 addresses only.
+        let IpAddr::V4(ip) = overlay.ip() else {
+            return None;
+        };
+        let known = self.regions.iter().position(|known| known == region);
+        let place = known.unwrap_or_else(|| {
+            self.regions.push(region.to_owned());
+            self.regions.len() - 1
+        });
+        Some(KnownDaemon {
+            ip: ip.to_bits(),
+            port: overlay.port().into(),
+            region: u32::try_from(place).ok()?,
+            holds,
+        })
+    }
+}
+
+/// A request that crashed an upstream.
+#[derive(Clone, PartialEq, Message)]
+pub struct SuspectNews {
+    /// Customer.
+    #[prost(string, tag = "1")]
+    pub customer: String,
+    /// Digest of path and body.
+    #[prost(bytes = "vec", tag = "2")]
+    pub digest: Vec<u8>,
+    /// The crashes.
+    #[prost(string, repeated, tag = "3")]
+    pub witnesses: Vec<String>,
+}
+
+/// Load of the engine beside an agent.
+#[derive(Clone, PartialEq, Message)]
+pub struct EngineLoad {
+    /// Address of the engine.
+    #[prost(string, tag = "1")]
+    pub engine: String,
+    /// Region.
+    #[prost(string, tag = "2")]
+    pub region: String,
+    /// The engine answers.
+    #[prost(bool, tag = "3")]
+    pub up: bool,
+    /// Version whose layers it holds completely; 0 for none.
+    #[prost(uint64, tag = "4")]
+    pub weights: u64,
+    /// An order is in progress, or about to be given.
+    #[prost(bool, tag = "5")]
+    pub busy: bool,
+    /// Requests that run.
+    #[prost(uint32, tag = "6")]
+    pub active: u32,
+    /// Requests that wait.
+    #[prost(uint32, tag = "7")]
+    pub queued: u32,
+    /// Version whose pieces the agent holds completely; 0 for none.
+    #[prost(uint64, tag = "8")]
+    pub holds: u64,
+}
--- a/crates/agatepin/src/relay/mirror.rs
+++ b/crates/agatepin/src/relay/mirror.rs
@@ -11,8 +11,9 @@
 use agatepin_core::relay::catalog::WeightsNumber;
 use tokio::time::sleep;
 
+use crate::relay::entry_rows::{EntryRow, WeightsRow};
 use crate::relay::fleet::FleetHandle;
-use crate::relay::overlay::{self, EntryRow, WeightsRow};
+use crate::relay::overlay;
 use crate::relay::ports::{
     FleetFact, MirrorTable, RowVersion, StoreError, TableRead, TableRow, TableStore, WireDialect,
 };
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -10,3 +10,4 @@
 pub mod schedule;
 pub mod share;
 pub mod sources;
+pub mod subset;
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -10,4 +10,5 @@
     pub mod setups;
     pub mod share;
     pub mod sources;
+    pub mod subset;
 }
