--- a/crates/core/tests/relay/subset.rs
+++ b/crates/core/tests/relay/subset.rs
@@ -6,7 +6,7 @@
 use agatepin_core::ids::RegionId;
 use agatepin_core::relay::subset::{TELLERS, WATCHERS, tellers, watchers};
 
-fn entries<'a>(regions: &'a [RegionId], each: u8) -> Vec<(SocketAddr, &'a RegionId)> {
+fn entries(regions: &[RegionId], each: u8) -> Vec<(SocketAddr, &RegionId)> {
     let numbered = regions.iter().zip(0u8..);
     let all = numbered.flat_map(|(region, zone)| {
         (0..each).map(move |at| (SocketAddr::from(([10, zone, 0, at], 7700)), region))
