Pieces go down a tree of a region's agents, importers are spread over all of them

Cause: the importer of a piece in a region turned by piece / regions, so 48 pieces had 16 importers of 33 agents at grown Ngaay, each of three pieces: 3 x 32 uploads are 4.6 s of a side machine's link, and a version took 5.5 s to arrive and missed its term on some engines. Now: fetched and imported pieces turn opposite ways, each over all agents of the region, and takers form a tree of four branches whose inner agents lie apart in the ring. A source that says 'not yet' four times is passed over for the one above it.

--- a/crates/agatepin/src/loader/pieces.rs
+++ b/crates/agatepin/src/loader/pieces.rs
@@ -9,7 +9,7 @@
 use agatepin_core::budget::LinkBudget;
 use agatepin_core::ids::ServiceId;
 use agatepin_core::rank;
-use agatepin_core::relay::sources::{PieceAgent, PieceSource, sources};
+use agatepin_core::relay::sources::{PieceAgent, PieceSource, SourcePlanner};
 use bytes::Bytes;
 use eyre::Result;
 use futures_util::StreamExt;
@@ -44,6 +44,8 @@
 /// Time for which other agents are waited for before the next source is asked: a version has 8 s
 /// to be served everywhere.
 const AGENTS_TIME: Duration = Duration::from_secs(5);
+/// Times that a source is asked for a piece that it does not have yet before the next one is.
+const TRIES_A_SOURCE: usize = 4;
 /// Pause after a round that left pieces out.
 const ROUND_PAUSE: Duration = Duration::from_millis(200);
 /// Pause between two looks at the named version.
@@ -54,6 +56,14 @@
 const DIGESTS_PIECE: u32 = u32::MAX;
 const DIGEST_BYTES: usize = 32;
 
+/// A piece that is still to come.
+#[derive(Clone, Copy)]
+struct MissingPiece {
+    piece: u32,
+    /// Times that a source did not have it yet.
+    tries: usize,
+}
+
 /// What became of a piece that was asked for.
 enum PieceFound {
     /// It is here.
@@ -154,9 +164,10 @@
             {
                 running.push(self.fetch_piece(plan, piece, started));
             }
-            let Some((piece, found)) = running.next().await else {
+            let Some((missing, found)) = running.next().await else {
                 break;
             };
+            let piece = missing.piece;
             match found {
                 PieceFound::Data(data, source) => {
                     if source == PieceSource::Origin {
@@ -167,7 +178,10 @@
                     self.vault
                         .with(plan.version, |set| set.pieces.insert(piece, data));
                 }
-                PieceFound::NotYet => waiting.push(piece),
+                PieceFound::NotYet => waiting.push(MissingPiece {
+                    piece,
+                    tries: missing.tries + 1,
+                }),
                 PieceFound::Nowhere => {
                     log::warn!(version = plan.version, piece; "no source has this piece");
                 }
@@ -180,7 +194,7 @@
         log::info!(version, total, from_origin, origin_ms, complete, ms; "pieces fetched");
     }
 
-    fn missing(&self, plan: &LoadPlan) -> Vec<u32> {
+    fn missing(&self, plan: &LoadPlan) -> Vec<MissingPiece> {
         let own = rank::seed(self.own.overlay.to_string().as_bytes());
         let mut missing: Vec<u32> = self.vault.with(plan.version, |set| {
             let all = 0..plan.engine.pieces;
@@ -189,22 +203,30 @@
         });
         // An order of this agent's own, so that not all ask the same source at once.
         missing.sort_by_cached_key(|piece| rank::mix(own, u64::from(*piece)));
-        missing
+        let pieces = missing.into_iter();
+        pieces
+            .map(|piece| MissingPiece { piece, tries: 0 })
+            .collect()
     }
 
     /// Takes the piece to ask for next: one that another agent asked this one for, else one that
     /// this agent is to bring in for others, else the first.
-    fn next_piece(&self, plan: &LoadPlan, waiting: &mut Vec<u32>) -> Option<u32> {
-        let agents = self.view.borrow_mut().agents(Instant::now());
+    fn next_piece(&self, plan: &LoadPlan, waiting: &mut Vec<MissingPiece>) -> Option<MissingPiece> {
+        let planner = self.planner(plan);
         let wanted = self.vault.wanted(plan.version);
         let places = waiting.iter().enumerate();
-        let (place, _) = places.min_by_key(|(place, piece)| {
-            let (duty, _) = sources(&agents, &self.own, plan.version, **piece);
-            (!wanted.contains(piece), duty, *place)
+        let (place, _) = places.min_by_key(|(place, missing)| {
+            let piece = missing.piece;
+            (!wanted.contains(&piece), planner.duty(piece), *place)
         })?;
         Some(waiting.remove(place))
     }
 
+    fn planner(&self, plan: &LoadPlan) -> SourcePlanner {
+        let agents = self.view.borrow_mut().agents(Instant::now());
+        SourcePlanner::new(&agents, &self.own, plan.version)
+    }
+
     /// Takes what the engine's stage holds of the version, so that it need not be fetched.
     async fn take_staged(&self, plan: &LoadPlan) {
         for piece in 0..plan.engine.pieces {
@@ -235,9 +257,7 @@
         if self.vault.with(plan.version, |set| set.digests.is_some()) {
             return true;
         }
-        let agents = self.view.borrow_mut().agents(Instant::now());
-        let (_, found) = sources(&agents, &self.own, plan.version, DIGESTS_PIECE);
-        for source in found {
+        for source in self.planner(plan).sources(DIGESTS_PIECE) {
             let found = match &source {
                 PieceSource::Agent(peer) => self.pull_digests(*peer, plan).await,
                 PieceSource::Origin => self.origin_digests(plan).await,
@@ -285,15 +305,22 @@
         }
     }
 
-    async fn fetch_piece(&self, plan: &LoadPlan, piece: u32, since: Instant) -> (u32, PieceFound) {
-        let agents = self.view.borrow_mut().agents(Instant::now());
-        let (_, found) = sources(&agents, &self.own, plan.version, piece);
-        for source in found {
+    async fn fetch_piece(
+        &self,
+        plan: &LoadPlan,
+        missing: MissingPiece,
+        since: Instant,
+    ) -> (MissingPiece, PieceFound) {
+        let piece = missing.piece;
+        let found = self.planner(plan).sources(piece);
+        // The origin is the last of them.
+        let passed_over = (missing.tries / TRIES_A_SOURCE).min(found.len().saturating_sub(2));
+        for source in found.into_iter().skip(passed_over) {
             let data = match &source {
                 PieceSource::Agent(peer) => match self.pull_piece(*peer, plan, piece).await {
                     Ok(Some(data)) => data,
                     Ok(None) if since.elapsed() < AGENTS_TIME => {
-                        return (piece, PieceFound::NotYet);
+                        return (missing, PieceFound::NotYet);
                     }
                     Ok(None) => continue,
                     Err(err) => {
@@ -311,7 +338,7 @@
                 .vault
                 .with(plan.version, |set| set.matches(piece, &data))
             {
-                return (piece, PieceFound::Data(data, source));
+                return (missing, PieceFound::Data(data, source));
             }
             log::warn!(piece, version = plan.version, source:?; "piece does not match its digest");
             if source == PieceSource::Origin {
@@ -323,7 +350,7 @@
                 });
             }
         }
-        (piece, PieceFound::Nowhere)
+        (missing, PieceFound::Nowhere)
     }
 
     async fn pull_piece(
