--- a/crates/core/src/relay/sources.rs
+++ b/crates/core/src/relay/sources.rs
@@ -189,7 +189,7 @@
 /// that those of the next pieces are others.
 fn stride(count: usize) -> usize {
     let coprime = |stride: &usize| gcd(*stride, count) == 1;
-    (BRANCHES..).find(coprime).unwrap_or(1)
+    (BRANCHES..BRANCHES + count).find(coprime).unwrap_or(1)
 }
 
 fn gcd(left: usize, right: usize) -> usize {
