Two entries of a region read the store, the others take their rows

Now: signs of life say which change of each table an entry knows and whether it reads the store by itself. An entry that is not among the first two of its region, and hears such a reader from anywhere within 1.2 s, pulls rows from an entry of its region that knows a newer change, or reads the store once where only others do. Without readers it polls as before; a lost store is looked for by each entry itself. Ruled out: longer polls, which a connection that went silent would hold up.

--- a/crates/agatepin/src/relay/daemon.rs
+++ b/crates/agatepin/src/relay/daemon.rs
@@ -19,7 +19,7 @@
 use crate::relay::fleet::FleetHandle;
 use crate::relay::listener;
 use crate::relay::metrics::RelayMetrics;
-use crate::relay::mirror::{self, SharedRows, TableMirror};
+use crate::relay::mirror::TableMirror;
 use crate::relay::overlay::{self, PullAnswer, PullWish};
 use crate::relay::ports::{MirrorTable, TableStore, WireDialect};
 use crate::relay::server::{DirectoryDesk, HttpServer};
@@ -55,7 +55,7 @@
 }
 
 /// An entry that runs.
-pub struct RelayEntry<Store> {
+pub struct RelayEntry<Store, Dialect> {
     /// Address for callers.
     pub front: SocketAddr,
     /// Address for the directory.
@@ -67,7 +67,7 @@
     closing: CancellationToken,
     leaving: CancellationToken,
     open: TaskTracker,
-    speaker: Speaker,
+    speaker: Speaker<Store, Dialect>,
 }
 
 /// Binds the sockets and starts the tasks of an entry.
@@ -78,7 +78,7 @@
     options: EntryOptions,
     store: Store,
     dialect: Dialect,
-) -> Result<RelayEntry<Store>>
+) -> Result<RelayEntry<Store, Dialect>>
 where
     Store: TableStore,
     Dialect: WireDialect,
@@ -136,7 +136,7 @@
             async move { response }
         }));
     }
-    let mirror = TableMirror::new(store.clone(), dialect, fleet.clone(), place.name.clone());
+    let mirror = TableMirror::new(store.clone(), dialect, fleet.clone(), &place);
     for table in [
         MirrorTable::Operator,
         MirrorTable::Upstreams,
@@ -144,15 +144,20 @@
     ] {
         actix_rt::spawn(mirror.clone().run(table));
     }
-    actix_rt::spawn(serve_rows(pulls, mirror.rows()));
+    actix_rt::spawn(serve_rows(pulls, mirror.clone()));
     let socket = UdpSocket::bind(own.overlay).await;
     let socket = Rc::new(socket.wrap_err_with(|| format!("cannot bind {}", own.overlay))?);
-    actix_rt::spawn(listener::hear(socket.clone(), fleet.clone()));
+    actix_rt::spawn(listener::hear(
+        socket.clone(),
+        fleet.clone(),
+        place.region.clone(),
+    ));
     let speaker = Speaker {
         socket,
         fleet: fleet.clone(),
         name: place.name.clone(),
         own: own.clone(),
+        mirror,
     };
     actix_rt::spawn(speaker.clone().tell_requests());
     actix_rt::spawn(speaker.clone().run());
@@ -172,9 +177,10 @@
     })
 }
 
-impl<Store> RelayEntry<Store>
+impl<Store, Dialect> RelayEntry<Store, Dialect>
 where
     Store: TableStore,
+    Dialect: WireDialect,
 {
     /// Leaves: out of the directory at once, connections end with their last answer, and new ones
     /// are taken as long as callers may still know the address.
@@ -221,7 +227,11 @@
     }
 }
 
-async fn serve_rows(listener: TcpListener, rows: SharedRows) {
+async fn serve_rows<Store, Dialect>(listener: TcpListener, mirror: TableMirror<Store, Dialect>)
+where
+    Store: TableStore,
+    Dialect: WireDialect,
+{
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -231,26 +241,29 @@
                 continue;
             }
         };
-        let rows = rows.clone();
+        let mirror = mirror.clone();
         actix_rt::spawn(async move {
-            if let Err(err) = give_rows(stream, &rows).await {
+            if let Err(err) = give_rows(stream, &mirror).await {
                 log::debug!("pull of rows ended: {err}");
             }
         });
     }
 }
 
-async fn give_rows(stream: TcpStream, rows: &SharedRows) -> Result<()> {
+async fn give_rows<Store, Dialect>(
+    stream: TcpStream,
+    mirror: &TableMirror<Store, Dialect>,
+) -> Result<()>
+where
+    Store: TableStore,
+    Dialect: WireDialect,
+{
     let mut connection = overlay::frames(stream);
-    let wish = overlay::read_wish(&mut connection).await?;
-    overlay::write_answer(&mut connection, &rows_for(rows, &wish)).await
-}
-
-fn rows_for(rows: &SharedRows, wish: &PullWish) -> PullAnswer {
-    let PullWish::Rows(wish) = wish else {
-        return PullAnswer::default();
+    let copy = match overlay::read_wish(&mut connection).await? {
+        PullWish::Rows(wish) => MirrorTable::from_number(wish.table)
+            .and_then(|table| mirror.newer_rows(table, wish.after)),
+        PullWish::Piece(_) | PullWish::Digests(_) => None,
     };
-    let table = wish.mirror_table();
-    let read = table.and_then(|table| mirror::newer_rows(rows, table, wish.after));
-    read.map(PullAnswer::from).unwrap_or_default()
+    let answer = copy.map(PullAnswer::from).unwrap_or_default();
+    overlay::write_answer(&mut connection, &answer).await
 }
--- a/crates/agatepin/src/relay/datagram.rs
+++ b/crates/agatepin/src/relay/datagram.rs
@@ -6,9 +6,12 @@
 use agatepin_core::ids::RegionId;
 use agatepin_core::relay::catalog::WeightsNumber;
 use agatepin_core::relay::liveness::EntryListing;
+use agatepin_core::relay::readers::CopyClaim;
 use eyre::{Result, WrapErr};
 use prost::Message;
 
+use crate::relay::ports::MirrorTable;
+
 /// Largest datagram, in bytes.
 pub const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
 
@@ -89,9 +92,39 @@
     /// Region of the data centre.
     #[prost(string, tag = "9")]
     pub region: String,
+    /// It reads the store by itself, and was answered lately.
+    #[prost(bool, tag = "10")]
+    pub reads_store: bool,
+    /// What it knows of the store's tables.
+    #[prost(message, repeated, tag = "11")]
+    pub changes: Vec<TableChange>,
+}
+
+/// The newest change of a table that an entry knows.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct TableChange {
+    /// Number of the table.
+    #[prost(uint32, tag = "1")]
+    pub table: u32,
+    /// Version of the change.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
 }
 
 impl EntryHello {
+    /// What the entry says of its copy of the store's tables.
+    #[must_use]
+    pub fn claim(&self) -> CopyClaim<MirrorTable> {
+        let changes = self.changes.iter().filter_map(|change| {
+            let table = MirrorTable::from_number(change.table)?;
+            Some((table, change.version))
+        });
+        CopyClaim {
+            sure: self.reads_store,
+            changes: changes.collect(),
+        }
+    }
+
     /// The entry that sent this from `overlay`.
     ///
     /// # Errors
--- a/crates/agatepin/src/relay/fleet.rs
+++ b/crates/agatepin/src/relay/fleet.rs
@@ -11,11 +11,12 @@
 use agatepin_core::relay::book::UpstreamBook;
 use agatepin_core::relay::catalog::{RouteCatalog, WeightsNumber};
 use agatepin_core::relay::liveness::EntryDirectory;
+use agatepin_core::relay::readers::ReaderBoard;
 use agatepin_core::relay::schedule::WeightsSchedule;
 use agatepin_core::relay::share::{ColdShare, RetryAllowance, RetryShare};
 use tokio::sync::Notify;
 
-use crate::relay::ports::FleetFact;
+use crate::relay::ports::{FleetFact, MirrorTable};
 
 /// Time for which a request that crashed upstreams is remembered: longer than its callers repeat it.
 const SUSPECT_KEEP: Duration = Duration::from_mins(1);
@@ -54,6 +55,12 @@
     pub leaving: bool,
     /// Wakes the teller of signs of life where other daemons are to know something at once.
     pub news: Rc<Notify>,
+    /// What the other entries say of their copies of the store's tables.
+    pub readers: ReaderBoard<MirrorTable>,
+    /// Wakes the teller of signs of life where rows of the store were read.
+    pub row_news: Rc<Notify>,
+    /// Wakes those who wait for other entries' rows.
+    pub heard_rows: Rc<Notify>,
     allowance: RetryAllowance,
     retries: HashMap<ServiceId, RetryShare>,
 }
@@ -83,6 +90,9 @@
             suspects: SuspectTracker::new(SUSPECT_KEEP),
             leaving: false,
             news: Rc::default(),
+            readers: ReaderBoard::default(),
+            row_news: Rc::default(),
+            heard_rows: Rc::default(),
             allowance,
             retries: HashMap::new(),
         };
--- a/crates/agatepin/src/relay/listener.rs
+++ b/crates/agatepin/src/relay/listener.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use agatepin_core::ids::ContentDigest;
+use agatepin_core::ids::{ContentDigest, RegionId};
 use agatepin_core::poison::SuspectKey;
 use agatepin_core::relay::book::{EngineReport, EntryLoad};
 use prost::Message;
@@ -21,7 +21,7 @@
 const FAILURE_PAUSE: Duration = Duration::from_millis(400);
 
 /// Takes the datagrams of other daemons for good.
-pub async fn hear(socket: Rc<UdpSocket>, fleet: FleetHandle) {
+pub async fn hear(socket: Rc<UdpSocket>, fleet: FleetHandle, region: RegionId) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         let (length, from) = match socket.recv_from(&mut buffer).await {
@@ -40,7 +40,7 @@
             }
         };
         match body {
-            Some(DatagramBody::Hello(hello)) => take_hello(&fleet, from, hello),
+            Some(DatagramBody::Hello(hello)) => take_hello(&fleet, &region, from, hello),
             Some(DatagramBody::Load(load)) => take_load(&fleet, from, load),
             Some(DatagramBody::Requests(requests)) => take_requests(&fleet, requests),
             Some(DatagramBody::Roster(_)) | None => {}
@@ -48,13 +48,18 @@
     }
 }
 
-fn take_hello(fleet: &FleetHandle, from: SocketAddr, hello: EntryHello) {
+fn take_hello(fleet: &FleetHandle, region: &str, from: SocketAddr, hello: EntryHello) {
     let now = Instant::now();
     let listing = match hello.listing(from) {
         Ok(listing) => listing,
         Err(err) => return log::debug!("sign of life from {from} left out: {err}"),
     };
+    let claim = hello.claim();
     fleet.with(|fleet| {
+        let near = listing.region == region;
+        if fleet.readers.hear(&hello.name, from, near, claim, now) {
+            fleet.heard_rows.notify_waiters();
+        }
         fleet.entries.heard(&hello.name, listing, hello.ready, now);
         for named in hello.weights {
             let age = Duration::from_millis(named.age_ms);
--- a/crates/agatepin/src/relay/mirror.rs
+++ b/crates/agatepin/src/relay/mirror.rs
@@ -3,20 +3,24 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use agatepin_core::ids::ModelId;
+use agatepin_core::ids::{ModelId, RegionId};
 use agatepin_core::relay::book::LAPSE_GRACE;
 use agatepin_core::relay::catalog::WeightsNumber;
-use tokio::time::sleep;
+use agatepin_core::relay::readers::{CopyClaim, NewerRows};
+use tokio::time::{sleep, timeout};
 
+use crate::relay::admit::EntryPlace;
 use crate::relay::entry_rows::{EntryRow, WeightsRow};
 use crate::relay::fleet::FleetHandle;
 use crate::relay::overlay;
 use crate::relay::ports::{
     FleetFact, MirrorTable, RowVersion, StoreError, TableRead, TableRow, TableStore, WireDialect,
 };
+use crate::relay::table_copy::{RowsCopy, TableCopy};
 
 /// Longest wait of one long poll: a connection that went silent is given up within the time that
 /// the platform allows after it.
@@ -29,33 +33,27 @@
 const MAX_TURNS: u32 = 10;
 /// Pause after changes, so that those of a busy moment come in one answer.
 const CHANGE_PAUSE: Duration = Duration::from_millis(250);
+/// Time between two looks at what other entries say, where nothing was heard.
+const LOOK_INTERVAL: Duration = Duration::from_millis(300);
+/// Time for which the store's last answer vouches for a copy: a long poll and its call.
+const ANSWER_TTL: Duration = Duration::from_secs(3);
 /// Pause after a failure.
 const FAILURE_PAUSE: Duration = Duration::from_millis(250);
 
-/// Rows of one table.
-#[derive(Debug, Default)]
-pub struct MirrorRows {
-    rows: BTreeMap<String, TableRow>,
-    version: RowVersion,
-    listed: bool,
-    /// The store's clock at the last read, and when that was.
-    clock: Option<(Duration, Instant)>,
-}
-
-impl MirrorRows {
-    fn tick(&mut self, time: Duration) {
-        self.clock = Some((time, Instant::now()));
-    }
+/// Rows of all tables that an entry mirrors.
+type SharedRows = Rc<RefCell<BTreeMap<MirrorTable, TableCopy>>>;
 
-    fn time(&self) -> Duration {
-        let clock = self.clock.map(|(time, at)| time + at.elapsed());
-        clock.unwrap_or_default()
-    }
+/// How one step of a mirror ended.
+enum StepEnd {
+    /// The store was read.
+    Read {
+        /// Rows that changed.
+        changes: usize,
+    },
+    /// Other entries were heard, or nothing happened.
+    Waited,
 }
 
-/// Rows of all tables that an entry mirrors.
-pub type SharedRows = Rc<RefCell<BTreeMap<MirrorTable, MirrorRows>>>;
-
 /// Keeps one entry's mirror of the tables.
 #[derive(Clone)]
 pub struct TableMirror<Store, Dialect> {
@@ -64,6 +62,7 @@
     fleet: FleetHandle,
     rows: SharedRows,
     own_name: String,
+    region: RegionId,
     returned: Rc<RefCell<Option<Instant>>>,
 }
 
@@ -73,29 +72,25 @@
     Dialect: WireDialect,
 {
     /// An empty mirror.
-    pub fn new(store: Store, dialect: Dialect, fleet: FleetHandle, own_name: String) -> Self {
+    pub fn new(store: Store, dialect: Dialect, fleet: FleetHandle, place: &EntryPlace) -> Self {
         Self {
             store,
             dialect,
             fleet,
             rows: SharedRows::default(),
-            own_name,
+            own_name: place.name.clone(),
+            region: place.region.clone(),
             returned: Rc::default(),
         }
     }
 
-    /// The rows, for other entries.
-    #[must_use]
-    pub fn rows(&self) -> SharedRows {
-        self.rows.clone()
-    }
-
     /// Mirrors one table for good.
     pub async fn run(self, table: MirrorTable) {
         let mut lost = false;
         loop {
-            match self.read(table, lost).await {
-                Ok(changes) => {
+            match self.step(table, lost).await {
+                Ok(StepEnd::Waited) => {}
+                Ok(StepEnd::Read { changes }) => {
                     if lost {
                         log::info!(table:?; "store regained");
                         *self.returned.borrow_mut() = Some(Instant::now());
@@ -122,79 +117,125 @@
         }
     }
 
-    fn unlisted(&self, table: MirrorTable) {
-        self.rows.borrow_mut().entry(table).or_default().listed = false;
-    }
-
-    /// Reads what is new. A store that was `lost` is asked without a wait, so that its silence is
-    /// noticed soon and its return at once.
-    async fn read(&self, table: MirrorTable, lost: bool) -> Result<usize, StoreError> {
+    /// Reads the store, or takes from other entries what they read, where this entry may rely on
+    /// them. An entry that lost the store looks for its return by itself.
+    async fn step(&self, table: MirrorTable, lost: bool) -> Result<StepEnd, StoreError> {
         let (listed, version) = {
             let mut rows = self.rows.borrow_mut();
             let known = rows.entry(table).or_default();
             (known.listed, known.version)
         };
-        if !listed {
-            let read = self.store.list(table).await?;
-            let changes = read.rows.len();
-            self.replace(table, read);
-            return Ok(changes.min(1));
-        }
         let wait = match table {
             _ if lost => Duration::ZERO,
             MirrorTable::Entries => ENTRIES_WAIT,
             MirrorTable::Operator | MirrorTable::Upstreams => POLL_WAIT,
         };
-        let read = self.store.feed(table, version, wait).await?;
+        if lost || !listed || table == MirrorTable::Entries || !self.may_rely() {
+            let changes = self.read(table, wait).await?;
+            if changes > 0 {
+                self.fleet.with(|fleet| fleet.row_news.notify_one());
+            }
+            return Ok(StepEnd::Read { changes });
+        }
+        let now = Instant::now();
+        let newer = self
+            .fleet
+            .with(|fleet| fleet.readers.newer(table, version, now));
+        if let Some(NewerRows::Near(peer)) = newer
+            && self.pull(table, peer, version).await
+        {
+            return Ok(StepEnd::Waited);
+        }
+        if newer.is_some() {
+            let changes = self.read(table, Duration::ZERO).await?;
+            if changes == 0 {
+                // The store's answer may be older than what others have read.
+                sleep(FAILURE_PAUSE).await;
+            }
+            return Ok(StepEnd::Read { changes });
+        }
+        let heard = self.fleet.with(|fleet| fleet.heard_rows.clone());
+        let _ = timeout(LOOK_INTERVAL, heard.notified()).await;
+        Ok(StepEnd::Waited)
+    }
+
+    fn may_rely(&self) -> bool {
+        let now = Instant::now();
+        self.fleet.with(|fleet| {
+            let near = fleet.entries.alive_near(&self.own_name, &self.region, now);
+            fleet.readers.may_rely(&self.own_name, near, now)
+        })
+    }
+
+    fn unlisted(&self, table: MirrorTable) {
+        self.rows.borrow_mut().entry(table).or_default().listed = false;
+    }
+
+    /// Reads what is new.
+    async fn read(&self, table: MirrorTable, wait: Duration) -> Result<usize, StoreError> {
+        let (listed, version) = {
+            let mut rows = self.rows.borrow_mut();
+            let known = rows.entry(table).or_default();
+            (known.listed, known.version)
+        };
+        let read = if listed {
+            self.store.feed(table, version, wait).await?
+        } else {
+            self.store.list(table).await?
+        };
         let changes = read.rows.len();
-        let lapses = self.may_have_lapsed(false);
-        let mut rows = self.rows.borrow_mut();
-        let known = rows.entry(table).or_default();
-        known.version = known.version.max(read.version);
-        known.tick(read.time);
-        drop(rows);
+        let lapses = self.may_have_lapsed();
+        self.with(table, |known| known.answered = Some(Instant::now()));
+        if listed {
+            self.take_changes(table, read, lapses);
+            return Ok(changes);
+        }
+        self.replace(table, read, lapses);
+        Ok(changes.min(1))
+    }
+
+    fn take_changes(&self, table: MirrorTable, read: TableRead, lapses: bool) {
+        let time = read.time;
+        self.with(table, |known| known.complete(read.version, time));
         for row in read.rows {
-            let fact = self.apply(table, row, lapses, read.time);
+            let fact = self.apply(table, row, lapses, time);
             if let Some(FleetFact::Weights { model, version }) = fact {
-                self.note_weights(model, version, read.time);
+                self.note_weights(model, version, time);
             }
         }
-        Ok(changes)
     }
 
     /// Takes all rows of a table; rows that are missing are gone.
-    fn replace(&self, table: MirrorTable, read: TableRead) {
-        let lapses = self.may_have_lapsed(false);
-        let mut gone = Vec::new();
-        {
-            let mut rows = self.rows.borrow_mut();
-            let known = rows.entry(table).or_default();
+    fn replace(&self, table: MirrorTable, read: TableRead, lapses: bool) {
+        let (time, version) = (read.time, read.version);
+        let gone = self.with(table, |known| {
             known.listed = true;
-            known.tick(read.time);
-            known.version = known.version.max(read.version);
-            for key in known.rows.keys() {
-                if !read.rows.iter().any(|row| row.key == *key) {
-                    gone.push(key.clone());
-                }
-            }
-        }
+            known.complete(version, time);
+            known.missing_in(&read)
+        });
         for key in gone {
-            let version = read.version;
             let row = TableRow {
                 key,
                 version,
                 value: None,
             };
-            self.apply(table, row, lapses, read.time);
+            self.apply(table, row, lapses, time);
         }
         for row in read.rows {
-            self.apply(table, row, lapses, read.time);
+            self.apply(table, row, lapses, time);
         }
         if table == MirrorTable::Upstreams {
             self.fleet.with(|fleet| fleet.listed = true);
         }
     }
 
+    fn with<Act, Out>(&self, table: MirrorTable, act: Act) -> Out
+    where
+        Act: FnOnce(&mut TableCopy) -> Out,
+    {
+        act(self.rows.borrow_mut().entry(table).or_default())
+    }
+
     /// Takes a row, read when the store's clock stood at `time`. Returns what is new in it.
     fn apply(
         &self,
@@ -203,18 +244,8 @@
         lapses: bool,
         time: Duration,
     ) -> Option<FleetFact> {
-        {
-            let mut rows = self.rows.borrow_mut();
-            let known = rows.entry(table).or_default();
-            let old = known.rows.get(&row.key);
-            if old.is_some_and(|old| old.version >= row.version) {
-                return None;
-            }
-            if row.value.is_some() {
-                known.rows.insert(row.key.clone(), row.clone());
-            } else {
-                known.rows.remove(&row.key);
-            }
+        if !self.with(table, |known| known.take(&row)) {
+            return None;
         }
         let now = Instant::now();
         if table == MirrorTable::Entries {
@@ -290,12 +321,12 @@
     fn is_noted(&self, key: &str) -> bool {
         let rows = self.rows.borrow();
         let entries = rows.get(&MirrorTable::Entries);
-        entries.is_some_and(|entries| entries.rows.contains_key(key))
+        entries.is_some_and(|entries| entries.has(key))
     }
 
-    fn may_have_lapsed(&self, lost: bool) -> bool {
+    fn may_have_lapsed(&self) -> bool {
         let returned = *self.returned.borrow();
-        lost || returned.is_some_and(|at| at.elapsed() < LAPSE_GRACE)
+        returned.is_some_and(|at| at.elapsed() < LAPSE_GRACE)
     }
 
     fn settle_later(&self) {
@@ -321,30 +352,54 @@
         let start = rand::random_range(0..peers.len());
         for offset in 0..peers.len().min(2) {
             let peer = peers[(start + offset) % peers.len()];
-            let Some(read) = overlay::pull_rows(peer, table, version).await else {
-                continue;
-            };
-            if read.version > version {
-                log::info!(table:?, peer:%, version = read.version; "rows taken from another entry");
-                self.replace(table, read);
-                self.unlisted(table);
+            if self.pull(table, peer, version).await {
+                return;
             }
-            return;
         }
     }
-}
 
-/// Rows of a table for another process, where they are newer than `after`.
-#[must_use]
-pub fn newer_rows(rows: &SharedRows, table: MirrorTable, after: RowVersion) -> Option<TableRead> {
-    let rows = rows.borrow();
-    let known = rows.get(&table)?;
-    if !known.listed || known.version <= after {
-        return None;
+    /// Takes newer rows of another entry. Returns false where it has none.
+    async fn pull(&self, table: MirrorTable, peer: SocketAddr, version: RowVersion) -> bool {
+        let Some(copy) = overlay::pull_rows(peer, table, version).await else {
+            return false;
+        };
+        let read = copy.read;
+        log::info!(table:?, peer:%, version = read.version, rows = read.rows.len(); "rows taken from another entry");
+        if copy.lapses {
+            self.settle_later();
+        }
+        let lapses = copy.lapses || self.may_have_lapsed();
+        if copy.changes_only {
+            self.take_changes(table, read, lapses);
+        } else {
+            self.replace(table, read, lapses);
+        }
+        true
+    }
+
+    /// What this entry has for another one that asks.
+    #[must_use]
+    pub fn newer_rows(&self, table: MirrorTable, after: RowVersion) -> Option<RowsCopy> {
+        let rows = self.rows.borrow();
+        rows.get(&table)?.newer(after, self.may_have_lapsed())
+    }
+
+    /// What this entry tells others of its copy.
+    #[must_use]
+    pub fn claim(&self) -> CopyClaim<MirrorTable> {
+        let rows = self.rows.borrow();
+        let told = [MirrorTable::Operator, MirrorTable::Upstreams];
+        let sure = told.iter().all(|table| {
+            let answered = rows.get(table).and_then(|known| known.answered);
+            answered.is_some_and(|at| at.elapsed() < ANSWER_TTL)
+        });
+        let changes = told.iter().filter_map(|table| {
+            let known = rows.get(table)?;
+            Some((*table, known.change))
+        });
+        CopyClaim {
+            sure,
+            changes: changes.collect(),
+        }
     }
-    Some(TableRead {
-        rows: known.rows.values().cloned().collect(),
-        version: known.version,
-        time: known.time(),
-    })
 }
--- a/crates/agatepin/src/relay/mod.rs
+++ b/crates/agatepin/src/relay/mod.rs
@@ -22,3 +22,4 @@
 pub mod server;
 pub mod speaker;
 pub mod stream;
+pub mod table_copy;
--- a/crates/agatepin/src/relay/overlay.rs
+++ b/crates/agatepin/src/relay/overlay.rs
@@ -13,6 +13,7 @@
 use tokio_util::codec::{Encoder, Framed, LengthDelimitedCodec};
 
 use crate::relay::ports::{MirrorTable, RowVersion, TableRead, TableRow};
+use crate::relay::table_copy::RowsCopy;
 
 /// Longest frame, in bytes: above all rows of a large fleet.
 const MAX_FRAME_BYTES: usize = 8 * 1024 * 1024;
@@ -49,7 +50,7 @@
 /// Rows of a table that are newer than a version.
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
 pub struct RowsWish {
-    /// 0: operator, 1: upstreams, 2: entries.
+    /// Number of the table.
     #[prost(uint32, tag = "1")]
     pub table: u32,
     /// Version that is known.
@@ -100,6 +101,12 @@
     /// Milliseconds on the store's clock.
     #[prost(uint64, tag = "5")]
     pub time_ms: u64,
+    /// The rows are those that changed since the version that was asked with.
+    #[prost(bool, tag = "6")]
+    pub changes_only: bool,
+    /// Rows may be missing only because the store was away.
+    #[prost(bool, tag = "7")]
+    pub lapses: bool,
 }
 
 /// A row between entries.
@@ -114,64 +121,48 @@
     /// Bytes.
     #[prost(bytes = "bytes", tag = "3")]
     pub value: Bytes,
+    /// The row was removed.
+    #[prost(bool, tag = "4")]
+    pub removed: bool,
 }
 
-impl From<MirrorTable> for RowsWish {
-    fn from(table: MirrorTable) -> Self {
-        let table = match table {
-            MirrorTable::Operator => 0,
-            MirrorTable::Upstreams => 1,
-            MirrorTable::Entries => 2,
-        };
-        Self { table, after: 0 }
-    }
-}
-
-impl RowsWish {
-    /// The table; none where the number is unknown.
-    #[must_use]
-    pub fn mirror_table(&self) -> Option<MirrorTable> {
-        match self.table {
-            0 => Some(MirrorTable::Operator),
-            1 => Some(MirrorTable::Upstreams),
-            2 => Some(MirrorTable::Entries),
-            _ => None,
-        }
-    }
-}
-
-impl From<TableRead> for PullAnswer {
-    fn from(read: TableRead) -> Self {
-        let rows = read.rows.into_iter();
-        let rows = rows.filter_map(|row| {
-            Some(WireRow {
-                key: row.key,
-                version: row.version,
-                value: row.value?,
-            })
+impl From<RowsCopy> for PullAnswer {
+    fn from(copy: RowsCopy) -> Self {
+        let rows = copy.read.rows.into_iter();
+        let rows = rows.map(|row| WireRow {
+            key: row.key,
+            version: row.version,
+            removed: row.value.is_none(),
+            value: row.value.unwrap_or_default(),
         });
         Self {
             found: true,
             data: Bytes::new(),
             rows: rows.collect(),
-            version: read.version,
-            time_ms: u64::try_from(read.time.as_millis()).unwrap_or(u64::MAX),
+            version: copy.read.version,
+            time_ms: u64::try_from(copy.read.time.as_millis()).unwrap_or(u64::MAX),
+            changes_only: copy.changes_only,
+            lapses: copy.lapses,
         }
     }
 }
 
-impl From<PullAnswer> for TableRead {
+impl From<PullAnswer> for RowsCopy {
     fn from(answer: PullAnswer) -> Self {
         let rows = answer.rows.into_iter();
         let rows = rows.map(|row| TableRow {
             key: row.key,
             version: row.version,
-            value: Some(row.value),
+            value: (!row.removed).then_some(row.value),
         });
         Self {
-            rows: rows.collect(),
-            version: answer.version,
-            time: Duration::from_millis(answer.time_ms),
+            read: TableRead {
+                rows: rows.collect(),
+                version: answer.version,
+                time: Duration::from_millis(answer.time_ms),
+            },
+            changes_only: answer.changes_only,
+            lapses: answer.lapses,
         }
     }
 }
@@ -217,10 +208,10 @@
     peer: SocketAddr,
     table: MirrorTable,
     after: RowVersion,
-) -> Option<TableRead> {
+) -> Option<RowsCopy> {
     let wish = RowsWish {
+        table: table.number(),
         after,
-        ..RowsWish::from(table)
     };
     match pull(peer, PullWish::Rows(wish), ROWS_TIMEOUT).await {
         Ok(answer) => answer.found.then(|| answer.into()),
--- a/crates/agatepin/src/relay/ports.rs
+++ b/crates/agatepin/src/relay/ports.rs
@@ -24,6 +24,25 @@
     }
 }
 
+impl MirrorTable {
+    /// Number of the table between daemons.
+    #[must_use]
+    pub fn number(self) -> u32 {
+        match self {
+            Self::Operator => 0,
+            Self::Upstreams => 1,
+            Self::Entries => 2,
+        }
+    }
+
+    /// The table of a number; none where it is unknown.
+    #[must_use]
+    pub fn from_number(number: u32) -> Option<Self> {
+        let all = [Self::Operator, Self::Upstreams, Self::Entries];
+        all.into_iter().find(|table| table.number() == number)
+    }
+}
+
 agatepin_core::value_type! {
     /// A row.
     pub struct TableRow {
--- a/crates/agatepin/src/relay/speaker.rs
+++ b/crates/agatepin/src/relay/speaker.rs
@@ -9,13 +9,15 @@
 use agatepin_core::relay::subset;
 use prost::Message;
 use tokio::net::UdpSocket;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use crate::relay::datagram::{
     Datagram, DatagramBody, EntryHello, EntryRequests, FleetRoster, NamedWeights, SuspectNews,
-    UpstreamRequests,
+    TableChange, UpstreamRequests,
 };
 use crate::relay::fleet::{FleetHandle, FleetState};
+use crate::relay::mirror::TableMirror;
+use crate::relay::ports::{TableStore, WireDialect};
 
 /// Time between two signs of life.
 const HELLO_INTERVAL: Duration = Duration::from_millis(500);
@@ -30,7 +32,7 @@
 
 /// Tells the other daemons that this entry lives, and what it knows.
 #[derive(Clone)]
-pub struct Speaker {
+pub struct Speaker<Store, Dialect> {
     /// Socket of the entry.
     pub socket: Rc<UdpSocket>,
     /// What the entry believes.
@@ -39,16 +41,29 @@
     pub name: String,
     /// The entry.
     pub own: EntryListing,
+    /// Its copy of the store's tables.
+    pub mirror: TableMirror<Store, Dialect>,
 }
 
-impl Speaker {
+impl<Store, Dialect> Speaker<Store, Dialect>
+where
+    Store: TableStore,
+    Dialect: WireDialect,
+{
     /// Tells for good.
     pub async fn run(self) {
-        let news = self.fleet.with(|fleet| fleet.news.clone());
+        let (news, row_news) = self
+            .fleet
+            .with(|fleet| (fleet.news.clone(), fleet.row_news.clone()));
+        self.speak();
         loop {
-            self.speak();
-            // Agents fetch new weights from the moment that they hear of them.
-            let _ = timeout(HELLO_INTERVAL, news.notified()).await;
+            // Agents fetch new weights from the moment that they hear of them, and entries that
+            // rely on this one take its rows.
+            tokio::select! {
+                () = sleep(HELLO_INTERVAL) => self.speak(),
+                () = news.notified() => self.speak(),
+                () = row_news.notified() => self.greet(Instant::now()),
+            }
         }
     }
 
@@ -96,12 +111,17 @@
     /// tells of the fleet.
     pub fn speak(&self) {
         let now = Instant::now();
+        self.greet(now);
+        self.send(DatagramBody::Roster(self.roster(now)), self.agents(now));
+    }
+
+    /// Gives a sign of life to the other entries.
+    fn greet(&self, now: Instant) {
         let entries = self.fleet.with(|fleet| {
             let others = fleet.entries.others(&self.name);
             others.map(|(_, listing)| listing.overlay).collect()
         });
         self.send(DatagramBody::Hello(self.hello(now)), entries);
-        self.send(DatagramBody::Roster(self.roster(now)), self.agents(now));
     }
 
     fn send(&self, body: DatagramBody, peers: BTreeSet<SocketAddr>) {
@@ -115,6 +135,14 @@
 
     fn hello(&self, now: Instant) -> EntryHello {
         let ready = self.fleet.is_ready();
+        let claim = self.mirror.claim();
+        let changes = claim
+            .changes
+            .into_iter()
+            .map(|(table, version)| TableChange {
+                table: table.number(),
+                version,
+            });
         self.fleet.with(|fleet| {
             let suspects = fleet.suspects.news().take(MAX_SUSPECTS_TOLD);
             let suspects = suspects.map(|(key, witnesses)| SuspectNews {
@@ -131,6 +159,8 @@
                 front: self.own.front.to_string(),
                 data_centre: self.own.data_centre.clone(),
                 region: self.own.region.clone(),
+                reads_store: claim.sure,
+                changes: changes.collect(),
             }
         })
     }
--- a/crates/core/src/relay/liveness.rs
+++ b/crates/core/src/relay/liveness.rs
@@ -101,6 +101,21 @@
             .map(|(name, _)| name)
     }
 
+    /// Names of the entries of `region` that count as alive, but `own`.
+    pub fn alive_near(
+        &self,
+        own: &str,
+        region: &str,
+        now: Instant,
+    ) -> impl Iterator<Item = &InstanceId> {
+        let (own, region) = (own.to_owned(), region.to_owned());
+        let all = self.entries.iter();
+        all.filter(move |(name, state)| {
+            **name != own && state.listing.region == region && is_alive(state, now)
+        })
+        .map(|(name, _)| name)
+    }
+
     /// Addresses for a caller in `data_centre` of `region`: of its data centre where there are
     /// any, else of its region, else all. `own` is the answering entry, where it takes callers.
     #[must_use]
