Agents read two tables at their start; the list of upstreams is read twice a second at most

Cause: agents read three tables every 400 ms until the operators' configuration was there (up to 9 calls each at a first start), and the list changes all the time while engines come or load. Ruled out: entries that follow (they ask only at their start).

--- a/crates/agatepin/src/loader/daemon.rs
+++ b/crates/agatepin/src/loader/daemon.rs
@@ -17,13 +17,19 @@
 use crate::loader::vault::PieceVault;
 use crate::loader::view::{self, SharedView};
 use crate::relay::datagram::{Datagram, DatagramBody, MAX_DATAGRAM_BYTES};
-use crate::relay::ports::{EnginePort, TableStore, WireDialect};
+use crate::relay::ports::{EnginePort, MirrorTable, TableStore, WireDialect};
 
 /// Pause after a failure of a socket or the store.
 const FAILURE_PAUSE: Duration = Duration::from_millis(400);
 /// Silence of all entries after which the store is read again.
 const ENTRY_SILENCE: Duration = Duration::from_secs(3);
 
+const ALL_TABLES: [MirrorTable; 3] = [
+    MirrorTable::Operator,
+    MirrorTable::Upstreams,
+    MirrorTable::Entries,
+];
+
 agatepin_core::value_type! {
     /// What an agent is started with.
     pub struct AgentOptions {
@@ -76,7 +82,8 @@
     ));
     actix_rt::spawn(hear(socket.clone(), view.clone()));
     let port = overlay.port();
-    actix_rt::spawn(watch_store(view.clone(), store, dialect, port));
+    let first_start = options.first_start;
+    actix_rt::spawn(watch_store(view.clone(), store, dialect, port, first_start));
     let teller = BeatTeller {
         engine: engine.clone(),
         beat: beat.clone(),
@@ -155,23 +162,45 @@
 }
 
 /// Reads the store at the start, and again while no entry is heard.
-async fn watch_store<Store, Dialect>(view: SharedView, store: Store, dialect: Dialect, port: u16)
-where
+async fn watch_store<Store, Dialect>(
+    view: SharedView,
+    store: Store,
+    dialect: Dialect,
+    port: u16,
+    first_start: bool,
+) where
     Store: TableStore,
     Dialect: WireDialect,
 {
-    let mut known = false;
-    let mut read_at = Instant::now();
-    loop {
-        let heard = view.borrow().heard();
-        let silent = heard.unwrap_or(read_at).max(read_at).elapsed() > ENTRY_SILENCE;
-        if !known || silent {
-            read_at = Instant::now();
-            match view::read_store(&view, &store, &dialect, port).await {
-                Ok(()) => known = view.borrow().is_known(),
+    // Where all start at once, entries come to the agents beside listed engines, and tell the rest.
+    let peers: &[MirrorTable] = if first_start {
+        &[MirrorTable::Entries]
+    } else {
+        &[MirrorTable::Entries, MirrorTable::Upstreams]
+    };
+    for tables in [&[MirrorTable::Operator], peers] {
+        loop {
+            let read = view::read_store(&view, &store, &dialect, port, tables).await;
+            match read {
+                Ok(()) if view.borrow().is_known() => break,
+                Ok(()) => {}
                 Err(err) => log::warn!(err:?; "store not read"),
             }
+            sleep(FAILURE_PAUSE).await;
         }
+    }
+    log::info!("catalog and entries read");
+    let mut read_at = Instant::now();
+    loop {
         sleep(FAILURE_PAUSE).await;
+        let heard = view.borrow().heard();
+        if heard.unwrap_or(read_at).max(read_at).elapsed() <= ENTRY_SILENCE {
+            continue;
+        }
+        read_at = Instant::now();
+        log::info!("no entry is heard; reading the store");
+        if let Err(err) = view::read_store(&view, &store, &dialect, port, &ALL_TABLES).await {
+            log::warn!(err:?; "store not read");
+        }
     }
 }
--- a/crates/agatepin/src/loader/view.rs
+++ b/crates/agatepin/src/loader/view.rs
@@ -151,7 +151,7 @@
     }
 }
 
-/// Reads all that an agent needs from the store.
+/// Reads tables of the store.
 ///
 /// # Errors
 /// The store does not answer as it should.
@@ -160,16 +160,13 @@
     store: &Store,
     dialect: &Dialect,
     overlay_port: u16,
+    tables: &[MirrorTable],
 ) -> Result<(), StoreError>
 where
     Store: TableStore,
     Dialect: WireDialect,
 {
-    for table in [
-        MirrorTable::Operator,
-        MirrorTable::Upstreams,
-        MirrorTable::Entries,
-    ] {
+    for table in tables.iter().copied() {
         let read = store.list(table).await?;
         let now = Instant::now();
         for row in read.rows {
--- a/crates/agatepin/src/relay/mirror.rs
+++ b/crates/agatepin/src/relay/mirror.rs
@@ -31,8 +31,10 @@
 const NOTE_TURN: Duration = Duration::from_millis(150);
 /// Most turns that an entry waits.
 const MAX_TURNS: u32 = 10;
-/// Pause after changes, so that those of a busy moment come in one answer.
+/// Pause after changes of what operators declare, so that those of a busy moment come in one answer.
 const CHANGE_PAUSE: Duration = Duration::from_millis(250);
+/// The same for the list of upstreams, which changes all the time while engines come or load.
+const LIST_PAUSE: Duration = Duration::from_millis(500);
 /// Time between two looks at what other entries say, where nothing was heard.
 const LOOK_INTERVAL: Duration = Duration::from_millis(300);
 /// Time for which the store's last answer vouches for a copy: a long poll and its call.
@@ -98,7 +100,7 @@
                         self.settle_later();
                     }
                     if changes > 0 {
-                        sleep(CHANGE_PAUSE).await;
+                        sleep(change_pause(table)).await;
                     }
                 }
                 Err(StoreError::HistoryGone) => {
@@ -403,3 +405,10 @@
         }
     }
 }
+
+fn change_pause(table: MirrorTable) -> Duration {
+    match table {
+        MirrorTable::Operator | MirrorTable::Entries => CHANGE_PAUSE,
+        MirrorTable::Upstreams => LIST_PAUSE,
+    }
+}
