Requests that wait for their first event are taken back at the end of their weights' term; sources keep 2 s

Ruled out: a late belief of the entry (it knew the version; CUT_OVER leaves 1.2 s for a queue). Now the wait for the first event ends at the term (7.7 s) of the weights that the upstream holds, and the request goes elsewhere. Test of the term in core failed to compile before it existed.

--- a/crates/agatepin/src/loader/pieces.rs
+++ b/crates/agatepin/src/loader/pieces.rs
@@ -44,8 +44,9 @@
 /// Time for which other agents are waited for before the next source is asked: a version has 8 s
 /// to be served everywhere.
 const AGENTS_TIME: Duration = Duration::from_secs(5);
-/// Times that a source is asked for a piece that it does not have yet before the next one is.
-const TRIES_A_SOURCE: usize = 4;
+/// Times that a source is asked for a piece that it does not have yet before the one above it is:
+/// two seconds, as asking sooner would bring all takers to the importer.
+const TRIES_A_SOURCE: usize = 13;
 /// Pause after a round that left pieces out.
 const ROUND_PAUSE: Duration = Duration::from_millis(200);
 /// Pause between two looks at the named version.
--- a/crates/agatepin/src/relay/call.rs
+++ b/crates/agatepin/src/relay/call.rs
@@ -285,7 +285,7 @@
             .deadline
             .saturating_duration_since(Instant::now());
         let patience = if call.route.kind.may_repeat() {
-            FIRST_EVENT_SILENCE.min(left)
+            self.first_event_patience(&place, left)
         } else {
             left
         };
@@ -293,6 +293,17 @@
         send_once(&self.dialect, &self.fleet, request, last, patience, place).await
     }
 
+    /// Time for the first event of a request that may be repeated: until its upstream counts as
+    /// silent, or until the weights that it holds may not serve any more.
+    fn first_event_patience(&self, place: &PlaceGuard, left: Duration) -> Duration {
+        let now = Instant::now();
+        let term = self
+            .fleet
+            .with(|fleet| fleet.weights_term(place.upstream(), now));
+        let term = term.map(|term| term.saturating_duration_since(now));
+        left.min(FIRST_EVENT_SILENCE).min(term.unwrap_or(left))
+    }
+
     fn after(
         &self,
         call: &CallState,
@@ -354,7 +365,7 @@
             .request
             .deadline
             .saturating_duration_since(Instant::now());
-        let patience = left.min(FIRST_EVENT_SILENCE);
+        let patience = self.first_event_patience(&answer.place, left);
         match stream::open_stream(answer, call.last_event, patience).await {
             Ok(stream) => Ok((stream, headers)),
             Err(reason) => Err(SendFailure::MayHaveRun(reason)),
@@ -401,7 +412,7 @@
                 .request
                 .deadline
                 .saturating_duration_since(Instant::now());
-            let patience = left.min(FIRST_EVENT_SILENCE);
+            let patience = self.first_event_patience(&place, left);
             let (dialect, fleet) = (&self.dialect, &self.fleet);
             let after = last.or(call.last_event);
             let sent = send_once(dialect, fleet, &call.request, after, patience, place).await;
--- a/crates/agatepin/src/relay/fleet.rs
+++ b/crates/agatepin/src/relay/fleet.rs
@@ -182,6 +182,16 @@
         }
     }
 
+    /// When no request may begin any more with the weights that an upstream holds.
+    #[must_use]
+    pub fn weights_term(&self, upstream: &str, now: Instant) -> Option<Instant> {
+        let state = self.book.get(upstream)?;
+        let catalog = self.catalog.as_ref()?;
+        let engine = catalog.service(&state.listing.service)?.engine.as_ref()?;
+        let schedule = self.weights.get(&engine.model)?;
+        schedule.term_of(state.weights(now)?)
+    }
+
     /// Counts a request's first send to `service`.
     pub fn first_send(&mut self, service: &str, now: Instant) {
         self.retry_share(service, now).request();
--- a/crates/core/src/relay/schedule.rs
+++ b/crates/core/src/relay/schedule.rs
@@ -8,6 +8,9 @@
 /// Time from the naming of a version after which no older one is asked for. The platform allows
 /// 8 s; the rest covers the way of the news and requests that wait at an engine.
 pub const CUT_OVER: Duration = Duration::from_millis(6_800);
+/// Time from the naming of a version after which no request may begin on an older one. The platform
+/// allows 8 s; the rest covers the way of the news and of a cancelled request.
+pub const TERM: Duration = Duration::from_millis(7_700);
 /// Versions that are remembered; older ones have been due for long.
 const MAX_VERSIONS: usize = 8;
 
@@ -45,6 +48,14 @@
             .map(|(version, _)| *version)
     }
 
+    /// When no request may begin any more at an engine that holds the version `held`; none while no
+    /// newer version is named.
+    #[must_use]
+    pub fn term_of(&self, held: WeightsNumber) -> Option<Instant> {
+        let newer = self.named.range(held + 1..);
+        newer.map(|(_, since)| *since + TERM).min()
+    }
+
     /// The newest version that is named.
     #[must_use]
     pub fn newest(&self) -> Option<WeightsNumber> {
--- a/crates/core/tests/relay/schedule.rs
+++ b/crates/core/tests/relay/schedule.rs
@@ -1,9 +1,24 @@
 use std::time::{Duration, Instant};
 
-use agatepin_core::relay::schedule::{CUT_OVER, WeightsSchedule};
+use agatepin_core::relay::schedule::{CUT_OVER, TERM, WeightsSchedule};
 
 const NEW: Duration = Duration::ZERO;
 
+/// A request waited 1.3 s in an engine's queue and began on weights that were out of their term.
+#[test]
+fn a_version_has_a_term_from_the_first_newer_one_that_is_named() {
+    let now = Instant::now();
+    let mut schedule = WeightsSchedule::default();
+    schedule.name(2, Duration::ZERO, now);
+    assert_eq!(schedule.term_of(2), None);
+    assert_eq!(schedule.term_of(1), Some(now + TERM));
+    let later = now + Duration::from_secs(3);
+    schedule.name(3, Duration::ZERO, later);
+    assert_eq!(schedule.term_of(1), Some(now + TERM));
+    assert_eq!(schedule.term_of(2), Some(later + TERM));
+    assert_eq!(schedule.term_of(3), None);
+}
+
 /// Two versions named 3 s apart: the first was taken to be due only with the second.
 #[test]
 fn a_newer_version_does_not_put_off_the_term_of_an_older_one() {
