Requests that come back too late for their objective give way to those that can still be in time

Ruled out: shares between classes (worth by engine time is nearly the same for all), the processor (none charged). Now: a caller that states less patience than is usual on its route, by more than the objective, came back; its request is taken only where the first event is expected within 0.2 of the objective. Others are taken where it is expected within 0.8 of it.

--- a/crates/agatepin/src/relay/admit.rs
+++ b/crates/agatepin/src/relay/admit.rs
@@ -5,6 +5,7 @@
 use agatepin_core::ids::{RegionId, UpstreamId};
 use agatepin_core::relay::catalog::RouteSpec;
 use agatepin_core::relay::chooser::{self, ChooserPlace, UpstreamChoice, UpstreamWish};
+use agatepin_core::relay::patience;
 use tokio::time::timeout;
 
 use crate::relay::fleet::{FleetHandle, FleetState};
@@ -15,8 +16,6 @@
 const WAIT_PART: u32 = 8;
 /// Taken off that part for the way back to the caller.
 const WAIT_MARGIN: Duration = Duration::from_millis(8);
-/// Time of the ways between caller, entry and engine, taken off the objective.
-const WAY_BACK: Duration = Duration::from_millis(15);
 /// Time after which a waiting request looks again where nobody woke it.
 const LOOK_AGAIN: Duration = Duration::from_millis(10);
 
@@ -46,6 +45,8 @@
     pub tokens: u32,
     /// When it came.
     pub started: Instant,
+    /// Its caller was refused before, and cannot be answered within the objective any more.
+    pub came_back: bool,
 }
 
 /// Finds a place at an upstream, and counts the request there.
@@ -96,10 +97,11 @@
         weights: model.and_then(|model| fleet.weights.get(model)?.required(now)),
         engine: service.engine.as_ref(),
         tokens: wish.tokens,
-        first_event: wish
-            .route
-            .objective
-            .saturating_sub(wish.started.elapsed() + WAY_BACK),
+        first_event: patience::first_event_limit(
+            wish.route.objective,
+            wish.started.elapsed(),
+            wish.came_back,
+        ),
         cold_per_second: service.cold_per_second,
     };
     let chooser_place = ChooserPlace {
--- a/crates/agatepin/src/relay/call.rs
+++ b/crates/agatepin/src/relay/call.rs
@@ -64,6 +64,8 @@
     pub last_event: Option<u64>,
     /// Prompt tokens.
     pub tokens: u32,
+    /// Its caller was refused before, and cannot be answered within the objective any more.
+    pub came_back: bool,
     suspect: SuspectKey,
 }
 
@@ -162,6 +164,12 @@
             customer: customer_name.clone().unwrap_or_default(),
             body_digest: digest(path, &body),
         };
+        let came_back = head.patience.is_some_and(|patience| {
+            let usual = self
+                .fleet
+                .with(|fleet| fleet.patience.usual(&route.name, patience));
+            usual.saturating_sub(patience) >= route.objective
+        });
         let service = route.target(rand::random()).clone();
         let priority = customer.as_ref().and_then(|customer| customer.priority);
         let call = CallState {
@@ -183,6 +191,7 @@
             started,
             last_event: head.last_event,
             tokens: head.prompt_tokens,
+            came_back,
             suspect,
         };
         self.serve(call, line).await
@@ -260,6 +269,7 @@
             homes: &call.homes,
             tried,
             tokens: call.tokens,
+            came_back: call.came_back,
             started: if tried.is_empty() {
                 call.started
             } else {
--- a/crates/agatepin/src/relay/fleet.rs
+++ b/crates/agatepin/src/relay/fleet.rs
@@ -11,6 +11,7 @@
 use agatepin_core::relay::book::UpstreamBook;
 use agatepin_core::relay::catalog::{RouteCatalog, WeightsNumber};
 use agatepin_core::relay::liveness::EntryDirectory;
+use agatepin_core::relay::patience::PatienceBook;
 use agatepin_core::relay::readers::ReaderBoard;
 use agatepin_core::relay::schedule::WeightsSchedule;
 use agatepin_core::relay::share::{ColdShare, RetryAllowance, RetryShare};
@@ -49,6 +50,8 @@
     pub agents: HashMap<SocketAddr, AgentState>,
     /// Cold upstreams' rates.
     pub cold: ColdShare,
+    /// Patience that callers of each route state.
+    pub patience: PatienceBook,
     /// Requests that crashed upstreams.
     pub suspects: SuspectTracker,
     /// This process is leaving.
@@ -87,6 +90,7 @@
             entries: EntryDirectory::default(),
             agents: HashMap::new(),
             cold: ColdShare::default(),
+            patience: PatienceBook::default(),
             suspects: SuspectTracker::new(SUSPECT_KEEP),
             leaving: false,
             news: Rc::default(),
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -6,6 +6,7 @@
 pub mod chooser;
 pub mod events;
 pub mod liveness;
+pub mod patience;
 pub mod readers;
 pub mod rollout;
 pub mod schedule;
