--- a/crates/agatepin/src/relay/call.rs
+++ b/crates/agatepin/src/relay/call.rs
@@ -165,10 +165,9 @@
             body_digest: digest(path, &body),
         };
         let came_back = head.patience.is_some_and(|patience| {
-            let usual = self
-                .fleet
-                .with(|fleet| fleet.patience.usual(&route.name, patience));
-            usual.saturating_sub(patience) >= route.objective
+            let (name, objective) = (&route.name, route.objective);
+            self.fleet
+                .with(|fleet| fleet.patience.came_back(name, patience, objective))
         });
         let service = route.target(rand::random()).clone();
         let priority = customer.as_ref().and_then(|customer| customer.priority);
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -6,6 +6,7 @@
     pub mod chooser;
     pub mod events;
     pub mod liveness;
+    pub mod patience;
     pub mod readers;
     pub mod schedule;
     pub mod setups;
