--- a/crates/agatepin/src/loader/daemon.rs
+++ b/crates/agatepin/src/loader/daemon.rs
@@ -6,7 +6,6 @@
 
 use agatepin_core::relay::sources::PieceAgent;
 use eyre::{Result, WrapErr};
-use prost::Message;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::time::sleep;
 
@@ -16,7 +15,7 @@
 use crate::loader::swap::{SwapFlag, WeightSwapper};
 use crate::loader::vault::PieceVault;
 use crate::loader::view::{self, SharedView};
-use crate::relay::datagram::{Datagram, DatagramBody, MAX_DATAGRAM_BYTES};
+use crate::relay::datagram::{self, DatagramBody};
 use crate::relay::ports::{EnginePort, MirrorTable, TableStore, WireDialect};
 
 /// Pause after a failure of a socket or the store.
@@ -80,7 +79,12 @@
         listener,
         PieceGiver::new(vault.clone(), view.clone(), options.link_bytes_per_second),
     ));
-    actix_rt::spawn(hear(socket.clone(), view.clone()));
+    let heard = view.clone();
+    actix_rt::spawn(datagram::receive(socket.clone(), move |_, body| {
+        if let DatagramBody::Roster(roster) = body {
+            heard.borrow_mut().hear(roster, Instant::now());
+        }
+    }));
     let port = overlay.port();
     let first_start = options.first_start;
     actix_rt::spawn(watch_store(view.clone(), store, dialect, port, first_start));
@@ -140,27 +144,6 @@
     }
 }
 
-async fn hear(socket: Rc<UdpSocket>, view: SharedView) {
-    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
-    loop {
-        let (length, from) = match socket.recv_from(&mut buffer).await {
-            Ok(received) => received,
-            Err(err) => {
-                log::warn!(err:%; "datagram not received");
-                sleep(FAILURE_PAUSE).await;
-                continue;
-            }
-        };
-        match Datagram::decode(&buffer[..length]) {
-            Ok(Datagram {
-                body: Some(DatagramBody::Roster(roster)),
-            }) => view.borrow_mut().hear(roster, Instant::now()),
-            Ok(_) => {}
-            Err(err) => log::debug!("datagram from {from} left out: {err}"),
-        }
-    }
-}
-
 /// Reads the store at the start, and again while no entry is heard.
 async fn watch_store<Store, Dialect>(
     view: SharedView,
--- a/crates/agatepin/src/relay/call.rs
+++ b/crates/agatepin/src/relay/call.rs
@@ -4,15 +4,13 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use agatepin_core::ids::{ContentDigest, RegionId, ServiceId, UpstreamId};
+use agatepin_core::ids::{RegionId, ServiceId, UpstreamId};
 use agatepin_core::poison::{SuspectKey, SuspectVerdict};
-use agatepin_core::rank;
 use agatepin_core::relay::book::SendOutcome;
-use agatepin_core::relay::catalog::{LookupError, RouteCatalog, RouteSpec};
-use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
-use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
+use agatepin_core::relay::catalog::{LookupError, RouteSpec};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::header::CONTENT_LENGTH;
 use hyper::http::HeaderMap;
 use hyper::{Request, Response};
 use tokio::sync::mpsc;
@@ -22,6 +20,9 @@
 use crate::relay::body::{BODY_QUEUE, ReplyBody};
 use crate::relay::fleet::FleetHandle;
 use crate::relay::log_line::RequestLine;
+use crate::relay::message::{
+    answer_headers, digest, fingerprint, head_bytes, host_of, passed_headers, read_body,
+};
 use crate::relay::metrics::RelayMetrics;
 use crate::relay::ports::{TableStore, WireDialect};
 use crate::relay::refusal::{self, RefusalReason};
@@ -38,17 +39,6 @@
 const LEAST_TIME: Duration = Duration::from_millis(20);
 /// Patience for requests whose caller states none.
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(10);
-/// Headers that concern one connection only.
-const HOP_HEADERS: [&str; 7] = [
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
 /// A request on its way.
 pub struct CallState {
     /// The request as it is passed on.
@@ -519,88 +509,3 @@
     line.head(reason.status().as_u16(), reason.code());
     refusal::reply(reason)
 }
-
-fn head_bytes(parts: &hyper::http::request::Parts) -> usize {
-    let headers = parts.headers.iter();
-    let headers = headers.map(|(name, value)| name.as_str().len() + value.len());
-    let target = parts.uri.path_and_query();
-    headers.sum::<usize>() + target.map_or(0, |target| target.as_str().len())
-}
-
-fn host_of(parts: &hyper::http::request::Parts) -> String {
-    let header = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
-    let host = parts.uri.host().or(header);
-    host.unwrap_or_default().to_owned()
-}
-
-/// Hash of a request's caller and content.
-fn fingerprint(key: &SuspectKey) -> u64 {
-    rank::score(key.body_digest.as_bytes(), &key.customer)
-}
-
-fn digest(path: &str, body: &[u8]) -> ContentDigest {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(&(path.len() as u64).to_le_bytes());
-    hasher.update(path.as_bytes());
-    hasher.update(body);
-    ContentDigest::from(hasher.finalize())
-}
-
-async fn read_body(
-    body: Incoming,
-    headers: &HeaderMap,
-    catalog: &RouteCatalog,
-    patience: Duration,
-) -> Result<Bytes, RefusalReason> {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    let limit = catalog.limits().body_bytes;
-    let declared = headers.get(CONTENT_LENGTH);
-    let declared = declared.and_then(|length| length.to_str().ok()?.parse::<usize>().ok());
-    if declared.is_some_and(|length| length > limit) {
-        return Err(RefusalReason::TooLarge);
-    }
-    match timeout(patience, Limited::new(body, limit).collect()).await {
-        Ok(Ok(whole)) => Ok(whole.to_bytes()),
-        Ok(Err(err)) if err.is::<LengthLimitError>() => Err(RefusalReason::TooLarge),
-        Ok(Err(_)) => Err(RefusalReason::Malformed),
-        Err(_) => Err(RefusalReason::Slow),
-    }
-}
-
-/// The caller's headers without those of its connection.
-fn passed_headers(headers: &HeaderMap) -> HeaderMap {
-    let mut passed = headers.clone();
-    remove_named(&mut passed);
-    for name in HOP_HEADERS {
-        passed.remove(name);
-    }
-    passed.remove(CONTENT_LENGTH);
-    passed.remove(hyper::header::EXPECT);
-    passed
-}
-
-/// The upstream's headers without those of its connection.
-fn answer_headers(headers: &HeaderMap) -> HeaderMap {
-    let mut passed = headers.clone();
-    remove_named(&mut passed);
-    for name in HOP_HEADERS {
-        passed.remove(name);
-    }
-    passed.remove(TRANSFER_ENCODING);
-    passed
-}
-
-/// Removes the headers that `Connection` names.
-fn remove_named(headers: &mut HeaderMap) {
-    let listed = headers.get_all(CONNECTION).iter();
-    let names: Vec<String> = listed
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .map(|name| name.trim().to_ascii_lowercase())
-        .collect();
-    for name in names {
-        headers.remove(name.as_str());
-    }
-}
--- a/crates/agatepin/src/relay/daemon.rs
+++ b/crates/agatepin/src/relay/daemon.rs
@@ -15,6 +15,7 @@
 
 use crate::relay::admit::EntryPlace;
 use crate::relay::call::CallRelay;
+use crate::relay::datagram;
 use crate::relay::entry_rows::EntryRow;
 use crate::relay::fleet::FleetHandle;
 use crate::relay::listener;
@@ -147,11 +148,10 @@
     actix_rt::spawn(serve_rows(pulls, mirror.clone()));
     let socket = UdpSocket::bind(own.overlay).await;
     let socket = Rc::new(socket.wrap_err_with(|| format!("cannot bind {}", own.overlay))?);
-    actix_rt::spawn(listener::hear(
-        socket.clone(),
-        fleet.clone(),
-        place.region.clone(),
-    ));
+    let (heard, region) = (fleet.clone(), place.region.clone());
+    actix_rt::spawn(datagram::receive(socket.clone(), move |from, body| {
+        listener::hear(&heard, &region, from, body);
+    }));
     let speaker = Speaker {
         socket,
         fleet: fleet.clone(),
--- a/crates/agatepin/src/relay/datagram.rs
+++ b/crates/agatepin/src/relay/datagram.rs
@@ -2,7 +2,8 @@
 //! what is sent again anyway.
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
-use std::time::Instant;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use agatepin_core::ids::RegionId;
 use agatepin_core::relay::book::{EngineReport, UpstreamState};
@@ -11,11 +12,37 @@
 use agatepin_core::relay::readers::CopyClaim;
 use eyre::{Result, WrapErr};
 use prost::Message;
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
 
 use crate::relay::ports::MirrorTable;
 
 /// Largest datagram, in bytes.
-pub const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
+const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
+/// Pause after a failure of a socket.
+const FAILURE_PAUSE: Duration = Duration::from_millis(400);
+
+/// Gives the datagrams that come to `socket` to `take`, for good.
+pub async fn receive<Take>(socket: Rc<UdpSocket>, take: Take)
+where
+    Take: Fn(SocketAddr, DatagramBody),
+{
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    loop {
+        let (length, from) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(err) => {
+                log::warn!(err:%; "datagram not received");
+                sleep(FAILURE_PAUSE).await;
+                continue;
+            }
+        };
+        match Datagram::decode(&buffer[..length]) {
+            Ok(datagram) => datagram.body.into_iter().for_each(|body| take(from, body)),
+            Err(err) => log::debug!("datagram from {from} left out: {err}"),
+        }
+    }
+}
 
 /// A datagram between daemons.
 #[derive(Clone, PartialEq, Message)]
--- a/crates/agatepin/src/relay/listener.rs
+++ b/crates/agatepin/src/relay/listener.rs
@@ -2,51 +2,23 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use agatepin_core::ids::{ContentDigest, RegionId};
+use agatepin_core::ids::ContentDigest;
 use agatepin_core::poison::SuspectKey;
 use agatepin_core::relay::book::{EngineReport, EntryLoad};
-use prost::Message;
-use tokio::net::UdpSocket;
-use tokio::time::sleep;
 
-use crate::relay::datagram::{
-    Datagram, DatagramBody, EngineLoad, EntryHello, EntryRequests, MAX_DATAGRAM_BYTES,
-    RegionEngines,
-};
+use crate::relay::datagram::{DatagramBody, EngineLoad, EntryHello, EntryRequests, RegionEngines};
 use crate::relay::fleet::{AgentState, FleetHandle};
 
-/// Pause after a failure of the socket.
-const FAILURE_PAUSE: Duration = Duration::from_millis(400);
-
-/// Takes the datagrams of other daemons for good.
-pub async fn hear(socket: Rc<UdpSocket>, fleet: FleetHandle, region: RegionId) {
-    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
-    loop {
-        let (length, from) = match socket.recv_from(&mut buffer).await {
-            Ok(received) => received,
-            Err(err) => {
-                log::warn!(err:%; "datagram not received");
-                sleep(FAILURE_PAUSE).await;
-                continue;
-            }
-        };
-        let body = match Datagram::decode(&buffer[..length]) {
-            Ok(datagram) => datagram.body,
-            Err(err) => {
-                log::debug!("datagram from {from} left out: {err}");
-                continue;
-            }
-        };
-        match body {
-            Some(DatagramBody::Hello(hello)) => take_hello(&fleet, &region, from, hello),
-            Some(DatagramBody::Load(load)) => take_load(&fleet, from, load),
-            Some(DatagramBody::Requests(requests)) => take_requests(&fleet, requests),
-            Some(DatagramBody::Engines(engines)) => take_engines(&fleet, &region, &engines),
-            Some(DatagramBody::Roster(_)) | None => {}
-        }
+/// Takes a datagram of another daemon.
+pub fn hear(fleet: &FleetHandle, region: &str, from: SocketAddr, body: DatagramBody) {
+    match body {
+        DatagramBody::Hello(hello) => take_hello(fleet, region, from, hello),
+        DatagramBody::Load(load) => take_load(fleet, from, load),
+        DatagramBody::Requests(requests) => take_requests(fleet, requests),
+        DatagramBody::Engines(engines) => take_engines(fleet, region, &engines),
+        DatagramBody::Roster(_) => {}
     }
 }
 
--- a/crates/agatepin/src/relay/mod.rs
+++ b/crates/agatepin/src/relay/mod.rs
@@ -13,6 +13,7 @@
 pub mod http_client;
 pub mod listener;
 pub mod log_line;
+pub mod message;
 pub mod metrics;
 pub mod mirror;
 pub mod overlay;
