Rosters go on while rows of the store change all the time

Found by a read of the speaker: each greeting after a change of rows began the wait for the next roster anew, so a reader's agents heard nothing while operators changed things more often than every 500 ms.

--- a/crates/agatepin/src/relay/speaker.rs
+++ b/crates/agatepin/src/relay/speaker.rs
@@ -10,7 +10,7 @@
 use agatepin_core::relay::subset;
 use prost::Message;
 use tokio::net::UdpSocket;
-use tokio::time::sleep;
+use tokio::time::{sleep, sleep_until};
 
 use crate::relay::datagram::{
     Datagram, DatagramBody, EngineSummary, EntryHello, EntryRequests, FleetRoster, NamedWeights,
@@ -58,14 +58,18 @@
         let (news, row_news) = self
             .fleet
             .with(|fleet| (fleet.news.clone(), fleet.row_news.clone()));
-        self.speak();
         loop {
-            // Agents fetch new weights from the moment that they hear of them, and entries that
-            // rely on this one take its rows.
-            tokio::select! {
-                () = sleep(HELLO_INTERVAL) => self.speak(),
-                () = news.notified() => self.speak(),
-                () = row_news.notified() => self.greet(Instant::now()),
+            self.speak();
+            let next = Instant::now() + HELLO_INTERVAL;
+            // Rows that change all the time must not put off what agents are told.
+            loop {
+                tokio::select! {
+                    () = sleep_until(next.into()) => break,
+                    // Agents fetch new weights from the moment that they hear of them.
+                    () = news.notified() => break,
+                    // Entries that rely on this one take its rows.
+                    () = row_news.notified() => self.greet(Instant::now()),
+                }
             }
         }
     }
