Relay: log how far an attempt without an answer came

The log could not tell whether a request that reached a leaving upstream late had been sent late (the entry did not know), or had been sent in time and was held up on the way. One line for each attempt without an answer now has the time until its connection was established, the time waited, and what the entry knows of the upstream by then.

--- a/crates/agatepin/src/relay/attempt.rs
+++ b/crates/agatepin/src/relay/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt of a request: sends it to one upstream and checks the head of the answer.
 
+use std::cell::Cell;
 use std::time::{Duration, Instant};
 
 use agatepin_core::ids::UpstreamId;
@@ -63,6 +64,46 @@
     TimeUp,
 }
 
+/// Times of one attempt for the log. The line is written on drop if no head of an answer arrived,
+/// so that attempts which end because their caller disconnected are logged too.
+struct AttemptTrace<'call> {
+    /// Attempt id from the caller's request.
+    request: &'call str,
+    fleet: &'call FleetHandle,
+    /// Upstream that the request was sent to.
+    upstream: UpstreamId,
+    /// Start of the attempt.
+    started: Instant,
+    /// When the connection to the upstream was established, if it was.
+    connected: Cell<Option<Instant>>,
+    /// Whether the head of an answer arrived.
+    answered: bool,
+}
+
+impl Drop for AttemptTrace<'_> {
+    fn drop(&mut self) {
+        if self.answered {
+            return;
+        }
+        let connected = self.connected.get();
+        let connect_ms = connected.map(|at| millis(at.saturating_duration_since(self.started)));
+        // `listed`: what the entry now knows of the upstream from the platform's list.
+        let listed = self.fleet.with(|fleet| match fleet.upstreams.get(&self.upstream) {
+            Some(state) if state.listing.draining => "draining",
+            Some(_) => "ready",
+            None => "gone",
+        });
+        let (request, upstream) = (self.request, &self.upstream);
+        let wait_ms = millis(self.started.elapsed());
+        log::info!(request, upstream, connect_ms, wait_ms, listed; "no answer from upstream");
+    }
+}
+
+/// `duration` in whole milliseconds.
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Slot of a request at an upstream: counts it as in flight there until dropped, and then records
 /// its outcome.
 pub struct SlotGuard {
@@ -162,7 +203,20 @@
     *forwarded.method_mut() = request.method.clone();
     *forwarded.uri_mut() = request.target.clone();
     *forwarded.headers_mut() = headers;
-    let sent = http_client::send(address, forwarded, CONNECT_TIMEOUT.min(time_left));
+    let connect_timeout = CONNECT_TIMEOUT.min(time_left);
+    let mut trace = AttemptTrace {
+        request: &request.id,
+        fleet,
+        upstream: upstream.clone(),
+        started: now,
+        connected: Cell::new(None),
+        answered: false,
+    };
+    let sent = async {
+        let stream = http_client::connect(address, connect_timeout).await?;
+        trace.connected.set(Some(Instant::now()));
+        http_client::send_on(stream, forwarded).await
+    };
     let (response, connection) = match timeout(wait_limit.min(time_left), sent).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(err)) => return Err(exchange_failure(&mut slot, &request.id, &err)),
@@ -172,6 +226,7 @@
         }
         Err(_) => return Err(AttemptFailure::TimeUp),
     };
+    trace.answered = true;
     let head = dialect.read_answer(response.status(), response.headers());
     if let Some(left) = head.cold_left {
         fleet.with(|fleet| {
--- a/crates/agatepin/src/relay/http_client.rs
+++ b/crates/agatepin/src/relay/http_client.rs
@@ -55,27 +55,38 @@
     }
 }
 
-/// Connects within `connect_timeout`, sends `request` and waits for the head of the answer.
+/// Connects to `address` within `time_limit`.
 ///
 /// # Errors
-/// The connection was not established, or it broke before the head of an answer arrived.
-pub async fn send(
+/// The connection was not established.
+pub async fn connect(
     address: SocketAddr,
-    mut request: Request<Full<Bytes>>,
-    connect_timeout: Duration,
-) -> Result<(Response<Incoming>, ConnectionGuard), ExchangeError> {
-    let stream = match timeout(connect_timeout, TcpStream::connect(address)).await {
+    time_limit: Duration,
+) -> Result<TcpStream, ExchangeError> {
+    let stream = match timeout(time_limit, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(err)) => return Err(ExchangeError::Connect(err)),
         Err(_) => return Err(ExchangeError::ConnectTimeout),
     };
     stream.set_nodelay(true).map_err(ExchangeError::Connect)?;
+    Ok(stream)
+}
+
+/// Sends `request` over a new connection, which serves no other request, and waits for the head of
+/// the answer.
+///
+/// # Errors
+/// The connection broke before the head of an answer arrived.
+pub async fn send_on(
+    stream: TcpStream,
+    mut request: Request<Full<Bytes>>,
+) -> Result<(Response<Incoming>, ConnectionGuard), ExchangeError> {
     let close = HeaderValue::from_static("close");
     request.headers_mut().insert(CONNECTION, close);
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
         .map_err(ExchangeError::Exchange)?;
-    let guard = spawn_connection(address, connection);
+    let guard = spawn_connection(connection);
     let response = sender.send_request(request).await;
     Ok((response.map_err(ExchangeError::Exchange)?, guard))
 }
@@ -128,7 +139,7 @@
             let stream = stream.map_err(|err| StoreError::Broken(err.to_string()))?;
             let handshake = http1::handshake(TokioIo::new(stream)).await;
             let (sender, connection) = handshake.map_err(broken)?;
-            self.open_connection = Some((sender, spawn_connection(address, connection)));
+            self.open_connection = Some((sender, spawn_connection(connection)));
         }
         let Some((sender, _)) = &mut self.open_connection else {
             return Err(StoreError::Broken("no connection".to_owned()));
@@ -151,12 +162,11 @@
 
 /// Starts the task that drives `connection`; dropping the guard aborts the task.
 fn spawn_connection(
-    address: SocketAddr,
     connection: http1::Connection<TokioIo<TcpStream>, Full<Bytes>>,
 ) -> ConnectionGuard {
     ConnectionGuard(actix_rt::spawn(async move {
         if let Err(err) = connection.await {
-            log::debug!("HTTP connection to {address} failed: {err}");
+            log::debug!("HTTP connection failed: {err}");
         }
     }))
 }
@@ -175,8 +185,9 @@
 ) -> Result<(StatusCode, Bytes), StoreError> {
     request.headers_mut().insert(HOST, host_header(address)?);
     let exchange = async {
-        let sent = send(address, request, connect_timeout).await;
-        let (response, guard) = sent.map_err(|err| StoreError::Broken(err.to_string()))?;
+        let broken = |err: ExchangeError| StoreError::Broken(err.to_string());
+        let stream = connect(address, connect_timeout).await.map_err(broken)?;
+        let (response, guard) = send_on(stream, request).await.map_err(broken)?;
         let status = response.status();
         let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
         let collected = body.collect().await;
