Relay: withdraw a request that is given up

What callers saw: requests reached upstreams after the entry had answered their callers or asked another upstream; some of these upstreams had said that they leave (DRAIN), some of these callers had left (GONE). Cause: an attempt is given up by closing its connection. The kernel goes on to deliver what is left in the send buffer, so that the upstream may run a request whose caller has been told of its failure. Change: the stream to an upstream or to the store is reset when dropped before the exchange ended, which discards unsent bytes. An exchange that ended is closed as before (second test). Not enough: bytes that already stand in a link's queue cannot be withdrawn.

--- a/crates/agatepin/src/relay/attempt.rs
+++ b/crates/agatepin/src/relay/attempt.rs
@@ -88,11 +88,13 @@
         let connected = self.connected.get();
         let connect_ms = connected.map(|at| millis(at.saturating_duration_since(self.started)));
         // `listed`: what the entry now knows of the upstream from the platform's list.
-        let listed = self.fleet.with(|fleet| match fleet.upstreams.get(&self.upstream) {
-            Some(state) if state.listing.draining => "draining",
-            Some(_) => "ready",
-            None => "gone",
-        });
+        let listed = self
+            .fleet
+            .with(|fleet| match fleet.upstreams.get(&self.upstream) {
+                Some(state) if state.listing.draining => "draining",
+                Some(_) => "ready",
+                None => "gone",
+            });
         let (request, upstream) = (self.request, &self.upstream);
         let wait_ms = millis(self.started.elapsed());
         log::info!(request, upstream, connect_ms, wait_ms, listed; "no answer from upstream");
--- a/crates/agatepin/src/relay/http_client.rs
+++ b/crates/agatepin/src/relay/http_client.rs
@@ -19,6 +19,7 @@
 use tokio::time::timeout;
 
 use crate::relay::ports::StoreError;
+use crate::relay::withdrawable::WithdrawableStream;
 
 /// Largest answer that [`fetch`] and [`PersistentConnection`] accept, in bytes; the store sends at
 /// most 1 MB in one answer.
@@ -83,7 +84,7 @@
 ) -> Result<(Response<Incoming>, ConnectionGuard), ExchangeError> {
     let close = HeaderValue::from_static("close");
     request.headers_mut().insert(CONNECTION, close);
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
+    let (mut sender, connection) = http1::handshake(TokioIo::new(WithdrawableStream::new(stream)))
         .await
         .map_err(ExchangeError::Exchange)?;
     let guard = spawn_connection(connection);
@@ -137,7 +138,7 @@
         {
             let stream = TcpStream::connect(address).await;
             let stream = stream.map_err(|err| StoreError::Broken(err.to_string()))?;
-            let handshake = http1::handshake(TokioIo::new(stream)).await;
+            let handshake = http1::handshake(TokioIo::new(WithdrawableStream::new(stream))).await;
             let (sender, connection) = handshake.map_err(broken)?;
             self.open_connection = Some((sender, spawn_connection(connection)));
         }
@@ -162,7 +163,7 @@
 
 /// Starts the task that drives `connection`; dropping the guard aborts the task.
 fn spawn_connection(
-    connection: http1::Connection<TokioIo<TcpStream>, Full<Bytes>>,
+    connection: http1::Connection<TokioIo<WithdrawableStream>, Full<Bytes>>,
 ) -> ConnectionGuard {
     ConnectionGuard(actix_rt::spawn(async move {
         if let Err(err) = connection.await {
--- a/crates/agatepin/src/relay/mod.rs
+++ b/crates/agatepin/src/relay/mod.rs
@@ -25,3 +25,4 @@
 pub mod server;
 pub mod stream;
 pub mod table_copy;
+pub mod withdrawable;
