Agents pull pieces of weights in ranges of 4 KiB

What callers saw: requests reached workers 1.3 to 1.8 s after they were sent; workers that had said that they leave in between got them after the bound (DRAIN), callers had left by then (GONE), a version had run out (VERSION). The entry sent in time each time: it knew of the leaving within 0.7 s and sent before. Cause: the queue of the link beside the worker. An agent requested six whole pieces of 48 KiB at once. Small socket buffers did not hold them back: what a source writes goes out at once, also where the receiver's link is slower than the source's pacing assumes. At 1.2 Mbit/s they are a queue of 2 s. Bounded windows at the origin, smaller windows everywhere: no effect, dropped. Change: a pull asks for 4 KiB, and for the next 4 KiB when these are here. What stands in the queue is bounded by six ranges at any speed of the link, without a measurement. An upload keeps its turn until its piece is sent.

--- a/crates/agatepin/src/loader/pieces.rs
+++ b/crates/agatepin/src/loader/pieces.rs
@@ -12,8 +12,8 @@
 use agatepin_core::ids::ServiceId;
 use agatepin_core::rank;
 use agatepin_core::relay::sources::{PieceAgent, PieceSource, SourcePlanner};
-use bytes::Bytes;
-use eyre::Result;
+use bytes::{Bytes, BytesMut};
+use eyre::{Result, bail};
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use socket2::SockRef;
@@ -26,12 +26,14 @@
 use crate::loader::monitor::EngineMonitor;
 use crate::loader::stage::StageWriter;
 use crate::loader::view::{LoadPlan, SharedView};
-use crate::relay::overlay::{self, DigestsQuery, PieceQuery, PullAnswer, PullQuery};
+use crate::relay::overlay::{self, DigestsQuery, PieceQuery, PullAnswer, PullClient, PullQuery};
 use crate::relay::ports::{EnginePort, PieceDigests};
 
-/// Maximum number of pieces that a fetch requests at a time. Callers' requests to the engine arrive
-/// over the same link and queue behind these pieces.
+/// Maximum number of pieces that a fetch requests at a time.
 const PARALLEL_PIECES: usize = 6;
+/// Bytes of a piece that are requested at once. Callers' requests to the engine arrive over the same
+/// link and queue behind the ranges in flight, of which there are [`PARALLEL_PIECES`] at most.
+const RANGE_BYTES: u32 = 4 * 1024;
 /// Maximum number of answers with a piece or with digests that are sent to other agents at a time.
 const PARALLEL_UPLOADS: usize = 6;
 /// Percentage of the link's rate that uploads of pieces may use: events of the engine's streams are
@@ -393,13 +395,7 @@
         plan: &LoadPlan,
         piece: u32,
     ) -> Result<Option<Bytes>> {
-        let query = PullQuery::Piece(PieceQuery {
-            model: plan.model.clone(),
-            version: plan.version,
-            piece,
-        });
-        let answer = overlay::pull(peer, query, PULL_TIMEOUT).await?;
-        Ok(answer.found.then_some(answer.data))
+        timeout(PULL_TIMEOUT, pull_ranges(peer, plan, piece)).await?
     }
 
     async fn origin_piece(&self, plan: &LoadPlan, piece: u32) -> Option<Bytes> {
@@ -415,6 +411,43 @@
     }
 }
 
+/// Pulls a piece from another agent, range by range. Returns none if that agent does not have the
+/// piece.
+async fn pull_ranges(peer: SocketAddr, plan: &LoadPlan, piece: u32) -> Result<Option<Bytes>> {
+    let mut client = PullClient::connect(peer).await?;
+    let mut data = BytesMut::new();
+    loop {
+        let query = PieceQuery {
+            model: plan.model.clone(),
+            version: plan.version,
+            piece,
+            offset: u32::try_from(data.len())?,
+            length: RANGE_BYTES,
+        };
+        let answer = client.ask(PullQuery::Piece(query)).await?;
+        if !answer.found {
+            return Ok(None);
+        }
+        data.extend_from_slice(&answer.data);
+        if data.len() >= answer.size as usize {
+            return Ok(Some(data.freeze()));
+        }
+        if answer.data.is_empty() {
+            bail!("empty range of a piece");
+        }
+    }
+}
+
+/// The bytes of `piece` that `query` asks for.
+fn requested_range(piece: &Bytes, query: &PieceQuery) -> Bytes {
+    let start = (query.offset as usize).min(piece.len());
+    let rest = piece.slice(start..);
+    match query.length as usize {
+        0 => rest,
+        length => rest.slice(..length.min(rest.len())),
+    }
+}
+
 /// Serves pieces and digests to other agents.
 #[derive(Clone)]
 pub struct PieceServer {
@@ -463,47 +496,62 @@
         }
     }
 
-    /// Answers the one query of a connection; a query for rows of the store is answered as not
-    /// found, since agents serve none.
+    /// Answers the queries of a connection until the other agent closes it, or until one asks for
+    /// data that this agent does not have.
     ///
     /// # Errors
-    /// The connection fails, a write times out, or the request is malformed.
+    /// The connection fails, a write times out, or a request is malformed.
     pub async fn serve(self, stream: TcpStream) -> Result<()> {
         let buffer = overlay::PULL_BUFFER_BYTES as usize;
         SockRef::from(&stream).set_send_buffer_size(buffer)?;
+        stream.set_nodelay(true)?;
         let mut connection = overlay::pull_connection(stream);
-        let data = match overlay::read_query(&mut connection).await? {
+        let mut upload = None;
+        while let Some(query) = overlay::next_query(&mut connection, PULL_TIMEOUT).await? {
+            let Some(answer) = self.find(query).await else {
+                return overlay::write_answer(&mut connection, &PullAnswer::default()).await;
+            };
+            if upload.is_none() {
+                upload = Some(self.uploads.acquire().await?);
+            }
+            let frame = overlay::encode_frame(&answer)?;
+            let stream = connection.get_mut();
+            for chunk in frame.chunks(UPLOAD_CHUNK_BYTES) {
+                self.await_budget(chunk.len()).await;
+                timeout(PULL_TIMEOUT, stream.write_all(chunk)).await??;
+            }
+        }
+        Ok(())
+    }
+
+    /// The answer to a query; none if this agent does not have the data. Agents have no rows of the
+    /// store.
+    async fn find(&self, query: PullQuery) -> Option<PullAnswer> {
+        let (data, size) = match query {
             PullQuery::Piece(query) => {
                 self.record_announcement(&query);
                 self.cache.record_wanted(query.version, query.piece);
-                self.cache
+                let piece = self
+                    .cache
                     .wait_for_piece(query.version, query.piece, MISSING_PIECE_WAIT)
-                    .await
+                    .await?;
+                let size = u32::try_from(piece.len()).ok()?;
+                (requested_range(&piece, &query), size)
             }
             PullQuery::Digests(query) => {
                 let digests = self
                     .cache
                     .wait_for_digests(query.version, DIGESTS_TIMEOUT / 2)
-                    .await;
-                digests.map(|digests| Bytes::from(digests.digests.concat()))
+                    .await?;
+                (Bytes::from(digests.digests.concat()), 0)
             }
-            PullQuery::Rows(_) => None,
-        };
-        let Some(data) = data else {
-            return overlay::write_answer(&mut connection, &PullAnswer::default()).await;
+            PullQuery::Rows(_) => return None,
         };
-        let answer = PullAnswer {
+        Some(PullAnswer {
             found: true,
             data,
+            size,
             ..PullAnswer::default()
-        };
-        let _upload = self.uploads.acquire().await?;
-        let frame = overlay::encode_frame(&answer)?;
-        let stream = connection.get_mut();
-        for chunk in frame.chunks(UPLOAD_CHUNK_BYTES) {
-            self.await_budget(chunk.len()).await;
-            timeout(PULL_TIMEOUT, stream.write_all(chunk)).await??;
-        }
-        Ok(())
+        })
     }
 }
--- a/crates/agatepin/src/relay/overlay.rs
+++ b/crates/agatepin/src/relay/overlay.rs
@@ -1,6 +1,6 @@
-//! Pulls (queries for data) between daemons over TCP: rows of the platform's tables, pieces of weights
-//! and the digests of such pieces. Each
-//! connection carries one query and its answer, as length-prefixed frames.
+//! Pulls (queries for data) between daemons over TCP: rows of the platform's tables, ranges of pieces
+//! of weights and the digests of such pieces. A connection carries queries, each followed by its
+//! answer, as length-prefixed frames.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -71,6 +71,12 @@
     /// Number of the piece, from 0.
     #[prost(uint32, tag = "3")]
     pub piece: u32,
+    /// First byte of the requested range of the piece.
+    #[prost(uint32, tag = "4")]
+    pub offset: u32,
+    /// Length of the requested range, in bytes; 0 for the rest of the piece.
+    #[prost(uint32, tag = "5")]
+    pub length: u32,
 }
 
 /// Query for the digests of all pieces of a version.
@@ -90,8 +96,8 @@
     /// The other fields hold the requested data; if false, they are all empty.
     #[prost(bool, tag = "1")]
     pub found: bool,
-    /// The requested piece, or the SHA-256 digests of all pieces, 32 bytes each, concatenated; empty in
-    /// answers with rows.
+    /// The requested range of a piece, or the SHA-256 digests of all pieces, 32 bytes each,
+    /// concatenated; empty in answers with rows.
     #[prost(bytes = "bytes", tag = "2")]
     pub data: Bytes,
     /// Rows of the requested table.
@@ -110,6 +116,9 @@
     /// Rows may be missing only because they expired while the store was unreachable.
     #[prost(bool, tag = "7")]
     pub may_have_lapsed: bool,
+    /// Size of the whole piece, in bytes; 0 in answers without a piece.
+    #[prost(uint32, tag = "8")]
+    pub size: u32,
 }
 
 /// Row of a table in an answer.
@@ -146,6 +155,7 @@
             time_ms: u64::try_from(copy.read.time.as_millis()).unwrap_or(u64::MAX),
             changes_only: copy.changes_only,
             may_have_lapsed: copy.may_have_lapsed,
+            size: 0,
         }
     }
 }
@@ -186,25 +196,47 @@
         .new_codec()
 }
 
-/// Sends a query to another daemon and returns its answer.
-///
-/// # Errors
-/// The connection was not established or broke, the answer is malformed, or it was incomplete after
-/// `time_limit`.
-pub async fn pull(peer: SocketAddr, query: PullQuery, time_limit: Duration) -> Result<PullAnswer> {
-    let exchange = async {
+/// Connection to another daemon that carries one query after the other.
+pub struct PullClient {
+    connection: PullConnection,
+}
+
+impl PullClient {
+    /// Connects to the daemon at `peer`.
+    ///
+    /// # Errors
+    /// The connection was not established within [`CONNECT_TIMEOUT`].
+    pub async fn connect(peer: SocketAddr) -> Result<Self> {
         let socket = TcpSocket::new_v4()?;
         socket.set_recv_buffer_size(PULL_BUFFER_BYTES)?;
         let stream = timeout(CONNECT_TIMEOUT, socket.connect(peer)).await??;
-        let mut connection = pull_connection(stream);
+        stream.set_nodelay(true)?;
+        Ok(Self {
+            connection: pull_connection(stream),
+        })
+    }
+
+    /// Sends a query and returns its answer.
+    ///
+    /// # Errors
+    /// The connection broke, or the answer is malformed.
+    pub async fn ask(&mut self, query: PullQuery) -> Result<PullAnswer> {
         let request = PullRequest { query: Some(query) };
-        connection
-            .send(Bytes::from(request.encode_to_vec()))
-            .await?;
-        let frame = connection.next().await;
+        let request = Bytes::from(request.encode_to_vec());
+        self.connection.send(request).await?;
+        let frame = self.connection.next().await;
         let frame = frame.ok_or_else(|| eyre!("connection closed before an answer arrived"))??;
         Ok(PullAnswer::decode(frame.freeze())?)
-    };
+    }
+}
+
+/// Sends one query to another daemon and returns its answer.
+///
+/// # Errors
+/// The connection was not established or broke, the answer is malformed, or it was incomplete after
+/// `time_limit`.
+pub async fn pull(peer: SocketAddr, query: PullQuery, time_limit: Duration) -> Result<PullAnswer> {
+    let exchange = async { PullClient::connect(peer).await?.ask(query).await };
     timeout(time_limit, exchange).await?
 }
 
@@ -228,17 +260,31 @@
     }
 }
 
-/// Reads the query of a connection.
+/// Reads the first query of a connection.
 ///
 /// # Errors
 /// The connection breaks, no query arrives in time, or the query is malformed.
 pub async fn read_query(connection: &mut PullConnection) -> Result<PullQuery> {
-    let frame = timeout(ROWS_TIMEOUT, connection.next()).await?;
-    let frame = frame.ok_or_else(|| eyre!("connection closed before a query arrived"))??;
-    let request = PullRequest::decode(frame.freeze())?;
-    request
-        .query
-        .ok_or_else(|| eyre!("pull request has no query"))
+    let query = next_query(connection, ROWS_TIMEOUT).await?;
+    query.ok_or_else(|| eyre!("connection closed before a query arrived"))
+}
+
+/// Reads the next query of a connection; none if the peer closed it.
+///
+/// # Errors
+/// The connection breaks, no query arrives within `time_limit`, or the query is malformed.
+pub async fn next_query(
+    connection: &mut PullConnection,
+    time_limit: Duration,
+) -> Result<Option<PullQuery>> {
+    let Some(frame) = timeout(time_limit, connection.next()).await? else {
+        return Ok(None);
+    };
+    let request = PullRequest::decode(frame?.freeze())?;
+    let query = request.query;
+    Ok(Some(
+        query.ok_or_else(|| eyre!("pull request has no query"))?,
+    ))
 }
 
 /// Writes the answer to a query.
