Relay: an answer that never ends fails soon

What callers saw, in tests of our own: a worker that sends interim answers, tiny chunks or events without an id without end keeps its caller waiting to the route's timeout (504), and its events without an id are passed on. Change: until the head of an answer is complete, at most 256 KiB are read, a head has 64 KiB at most. A stream breaks off after 64 KiB of events without an id, or an event in 16,384 parts. An event that arrives in many parts is searched once, not once a part.

--- a/crates/agatepin/src/relay/call.rs
+++ b/crates/agatepin/src/relay/call.rs
@@ -9,7 +9,6 @@
 use agatepin_core::poison::{SuspectAdmission, SuspectKey};
 use agatepin_core::relay::catalog::{LookupError, RouteSpec};
 use agatepin_core::relay::upstreams::SendOutcome;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 use hyper::http::HeaderMap;
@@ -19,6 +18,7 @@
 
 use crate::relay::access_log::AccessRecord;
 use crate::relay::admit::{AdmissionCriteria, EntryIdentity, admit};
+use crate::relay::answer_buffer::AnswerBuffers;
 use crate::relay::attempt::{AttemptFailure, ForwardedRequest, OpenAnswer, SlotGuard, send_once};
 use crate::relay::body::{BODY_QUEUE_PARTS, ReplyBody};
 use crate::relay::fleet::FleetHandle;
@@ -31,8 +31,6 @@
 use crate::relay::refusal::{self, RefusalReason};
 use crate::relay::stream::{self, OpenStream, StreamResume};
 
-/// Largest answer that is buffered before any of it is forwarded, in bytes.
-const MAX_BUFFERED_BYTES: usize = 4 * 1024 * 1024;
 /// Longest wait for the head of an upstream's answer, and then for the first event of its stream, if
 /// the request may be retried at another upstream. Callers disconnect after 2 s without data.
 const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1_600);
@@ -77,6 +75,7 @@
     /// Name and location of this entry.
     identity: Rc<EntryIdentity>,
     metrics: RelayMetrics,
+    buffers: AnswerBuffers,
     /// The relay only names the type of the store and does not use one.
     store: std::marker::PhantomData<Store>,
 }
@@ -91,6 +90,7 @@
             fleet: self.fleet.clone(),
             identity: self.identity.clone(),
             metrics: self.metrics.clone(),
+            buffers: self.buffers.clone(),
             store: std::marker::PhantomData,
         }
     }
@@ -121,6 +121,7 @@
             fleet,
             identity,
             metrics,
+            buffers: AnswerBuffers::default(),
             store: std::marker::PhantomData,
         }
     }
@@ -508,10 +509,10 @@
             .request
             .deadline
             .saturating_duration_since(Instant::now());
-        let buffered = timeout(left, Limited::new(body, MAX_BUFFERED_BYTES).collect()).await;
+        let buffered = timeout(left, self.buffers.collect(body)).await;
         drop(connection);
         let body = match buffered {
-            Ok(Ok(buffered)) => buffered.to_bytes(),
+            Ok(Ok(buffered)) => buffered,
             Ok(Err(err)) => {
                 slot.set_outcome(SendOutcome::Failed);
                 let (request, upstream) = (&call.request.id, slot.upstream());
--- a/crates/agatepin/src/relay/http_client.rs
+++ b/crates/agatepin/src/relay/http_client.rs
@@ -19,12 +19,21 @@
 use tokio::time::timeout;
 
 use crate::relay::ports::StoreError;
-use crate::relay::withdrawable::WithdrawableStream;
+use crate::relay::withdrawable::{ReadAllowance, WithdrawableStream};
 
 /// Largest answer that [`fetch`] and [`PersistentConnection`] accept, in bytes; the store sends at
 /// most 1 MB in one answer.
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 
+/// Largest head of an answer, in bytes; also the size of the read buffer.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Bytes that may arrive until the head of an answer is complete: interim answers, the head, and what
+/// is read of the body with it.
+const HEAD_PHASE_BYTES: usize = 4 * MAX_HEAD_BYTES;
+
+/// HTTP/1.1 connection to an upstream or to a service of the platform.
+type UpstreamConnection = http1::Connection<TokioIo<WithdrawableStream>, Full<Bytes>>;
+
 /// Closes the connection when dropped, by aborting the task that drives it.
 #[derive(Debug)]
 pub struct ConnectionGuard(JoinHandle<()>);
@@ -84,14 +93,27 @@
 ) -> Result<(Response<Incoming>, ConnectionGuard), ExchangeError> {
     let close = HeaderValue::from_static("close");
     request.headers_mut().insert(CONNECTION, close);
-    let (mut sender, connection) = http1::handshake(TokioIo::new(WithdrawableStream::new(stream)))
+    let allowance = ReadAllowance::new(HEAD_PHASE_BYTES);
+    let (mut sender, connection) = handshake(stream, allowance.clone())
         .await
         .map_err(ExchangeError::Exchange)?;
     let guard = spawn_connection(connection);
     let response = sender.send_request(request).await;
+    allowance.lift();
     Ok((response.map_err(ExchangeError::Exchange)?, guard))
 }
 
+/// Starts HTTP/1.1 on `stream`.
+async fn handshake(
+    stream: TcpStream,
+    allowance: ReadAllowance,
+) -> hyper::Result<(http1::SendRequest<Full<Bytes>>, UpstreamConnection)> {
+    let stream = TokioIo::new(WithdrawableStream::new(stream, allowance));
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(MAX_HEAD_BYTES);
+    builder.handshake(stream).await
+}
+
 /// A connection that serves one call after the other; only for calls that may safely be sent twice.
 #[derive(Debug, Default)]
 pub struct PersistentConnection {
@@ -138,7 +160,7 @@
         {
             let stream = TcpStream::connect(address).await;
             let stream = stream.map_err(|err| StoreError::Broken(err.to_string()))?;
-            let handshake = http1::handshake(TokioIo::new(WithdrawableStream::new(stream))).await;
+            let handshake = handshake(stream, ReadAllowance::new(usize::MAX)).await;
             let (sender, connection) = handshake.map_err(broken)?;
             self.open_connection = Some((sender, spawn_connection(connection)));
         }
@@ -162,9 +184,7 @@
 }
 
 /// Starts the task that drives `connection`; dropping the guard aborts the task.
-fn spawn_connection(
-    connection: http1::Connection<TokioIo<WithdrawableStream>, Full<Bytes>>,
-) -> ConnectionGuard {
+fn spawn_connection(connection: UpstreamConnection) -> ConnectionGuard {
     ConnectionGuard(actix_rt::spawn(async move {
         if let Err(err) = connection.await {
             log::debug!("HTTP connection failed: {err}");
--- a/crates/agatepin/src/relay/mod.rs
+++ b/crates/agatepin/src/relay/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod access_log;
 pub mod admit;
+pub mod answer_buffer;
 pub mod attempt;
 pub mod body;
 pub mod broadcast;
--- a/crates/agatepin/src/relay/stream.rs
+++ b/crates/agatepin/src/relay/stream.rs
@@ -13,6 +13,7 @@
 use tokio::time::timeout;
 
 use crate::relay::access_log::AccessRecord;
+use crate::relay::answer_buffer::MAX_ANSWER_PARTS;
 use crate::relay::attempt::{OpenAnswer, SlotGuard};
 use crate::relay::body::BrokenBody;
 use crate::relay::call::CallRelay;
@@ -86,7 +87,7 @@
 impl OpenStream {
     /// Reads until there is at least one complete event, or the stream ends or breaks.
     async fn step(&mut self) -> StreamStep {
-        loop {
+        for _ in 0..MAX_ANSWER_PARTS {
             let frame = match self.body.frame().await {
                 Some(Ok(frame)) => frame,
                 Some(Err(_)) => return StreamStep::Broken("connection broke"),
@@ -102,6 +103,7 @@
                 Err(_) => return StreamStep::Broken("event missing or too long"),
             }
         }
+        StreamStep::Broken("event in too many parts")
     }
 }
 
--- a/crates/agatepin/src/relay/withdrawable.rs
+++ b/crates/agatepin/src/relay/withdrawable.rs
@@ -1,8 +1,10 @@
 //! TCP stream that withdraws its request when the exchange is given up.
 
+use std::cell::Cell;
 use std::io::{self, IoSlice};
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use socket2::SockRef;
@@ -15,16 +17,51 @@
 #[derive(Debug)]
 pub struct WithdrawableStream {
     stream: TcpStream,
+    /// Bytes that may still be read, shared with the sender of the request.
+    allowance: ReadAllowance,
     /// Whether the write side was shut down, which the HTTP client does at the end of an exchange.
     finished: bool,
 }
 
+/// Limit on the bytes that are read from a [`WithdrawableStream`]; clones share it.
+#[derive(Clone, Debug)]
+pub struct ReadAllowance(Rc<Cell<usize>>);
+
+impl ReadAllowance {
+    /// Allows `bytes` to be read.
+    #[must_use]
+    pub fn new(bytes: usize) -> Self {
+        Self(Rc::new(Cell::new(bytes)))
+    }
+
+    /// Removes the limit.
+    pub fn lift(&self) {
+        self.0.set(usize::MAX);
+    }
+
+    /// Takes `bytes` from the allowance.
+    ///
+    /// # Errors
+    /// The allowance is smaller.
+    fn take(&self, bytes: usize) -> io::Result<()> {
+        let left = self.0.get().checked_sub(bytes);
+        self.0.set(left.unwrap_or(0));
+        match left {
+            Some(_) => Ok(()),
+            None => Err(io::Error::other(
+                "more bytes than an answer's head may have",
+            )),
+        }
+    }
+}
+
 impl WithdrawableStream {
-    /// Wraps a connected stream.
+    /// Wraps a connected stream, from which `allowance` may be read.
     #[must_use]
-    pub fn new(stream: TcpStream) -> Self {
+    pub fn new(stream: TcpStream, allowance: ReadAllowance) -> Self {
         Self {
             stream,
+            allowance,
             finished: false,
         }
     }
@@ -48,7 +85,10 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        let read = buf.filled().len() - before;
+        Poll::Ready(self.allowance.take(read))
     }
 }
 
--- a/crates/core/src/relay/events.rs
+++ b/crates/core/src/relay/events.rs
@@ -8,6 +8,8 @@
 
 /// Maximum size of one event, in bytes.
 pub const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Maximum size of consecutive events without an id, in bytes.
+pub const MAX_UNNUMBERED_BYTES: usize = 64 * 1024;
 
 value_type! {
     /// Complete events to forward to the caller.
@@ -22,6 +24,8 @@
     pub enum EventError {
         /// An incomplete event is longer than [`MAX_EVENT_BYTES`].
         TooLong,
+        /// The events since the last one with an id are longer than [`MAX_UNNUMBERED_BYTES`].
+        Unnumbered,
         /// One or more events are missing between two received ones.
         Gap {
             /// Id of the last event before the gap.
@@ -37,6 +41,12 @@
 pub struct EventSplitter {
     /// Bytes of the event that is not complete yet.
     buffer: BytesMut,
+    /// Start of the first line of `buffer` that is not complete.
+    line_start: usize,
+    /// Length of the part of `buffer` that was searched for the end of an event.
+    searched: usize,
+    /// Size of the events since the last one with an id, in bytes.
+    unnumbered: usize,
     /// Id of the last event that was forwarded to the caller; `None` if none had an id.
     last_forwarded: Option<EventId>,
 }
@@ -46,8 +56,8 @@
     #[must_use]
     pub fn after(last: Option<EventId>) -> Self {
         Self {
-            buffer: BytesMut::new(),
             last_forwarded: last,
+            ..Self::default()
         }
     }
 
@@ -67,6 +77,7 @@
     /// Discards the incomplete event that a failed upstream left in the buffer.
     pub fn restart(&mut self) {
         self.buffer.clear();
+        self.reset_search();
     }
 
     /// Appends received bytes and returns the events that are now complete. Events up to the last
@@ -74,14 +85,23 @@
     ///
     /// # Errors
     /// Returns [`EventError::Gap`] if an event id shows that events are missing, and
-    /// [`EventError::TooLong`] if an incomplete event exceeds [`MAX_EVENT_BYTES`].
+    /// [`EventError::TooLong`] or [`EventError::Unnumbered`] if the stream does not look as if another
+    /// numbered event would come.
     pub fn push(&mut self, data: &[u8]) -> Result<EventBatch, EventError> {
         self.buffer.extend_from_slice(data);
         let mut out = BytesMut::new();
         let mut events = 0;
-        while let Some(length) = event_length(&self.buffer) {
+        while let Some(length) = self.event_length() {
             let event = self.buffer.split_to(length);
+            self.reset_search();
             let id = event_id(&event);
+            self.unnumbered = match id {
+                Some(_) => 0,
+                None => self.unnumbered + length,
+            };
+            if self.unnumbered > MAX_UNNUMBERED_BYTES {
+                return Err(EventError::Unnumbered);
+            }
             if let (Some(got), Some(after)) = (id, self.last_forwarded) {
                 if got <= after {
                     continue;
@@ -102,22 +122,30 @@
             events,
         })
     }
-}
 
-/// Length of the first complete event, including the empty line that ends it.
-fn event_length(data: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (index, byte) in data.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let text = &data[line_start..index];
-        if index > 0 && (text.is_empty() || text == b"\r") {
-            return Some(index + 1);
+    /// Length of the first complete event, including the empty line that ends it. Bytes that were
+    /// searched before are not searched again, as a long event may arrive in many small parts.
+    fn event_length(&mut self) -> Option<usize> {
+        let is_feed = |byte: &u8| *byte == b'\n';
+        while let Some(offset) = self.buffer[self.searched..].iter().position(is_feed) {
+            let line_end = self.searched + offset + 1;
+            let line = &self.buffer[self.line_start..line_end];
+            let is_empty = line == b"\n" || line == b"\r\n";
+            self.line_start = line_end;
+            self.searched = line_end;
+            if is_empty && line_end > 1 {
+                return Some(line_end);
+            }
         }
-        line_start = index + 1;
+        self.searched = self.buffer.len();
+        None
+    }
+
+    /// Forgets the positions in the buffer after its start was removed.
+    fn reset_search(&mut self) {
+        self.line_start = 0;
+        self.searched = 0;
     }
-    None
 }
 
 /// Value of the event's `id` field, if it is a number.
--- a/crates/core/tests/relay/events.rs
+++ b/crates/core/tests/relay/events.rs
@@ -1,6 +1,8 @@
 //! Splitting and resumption of event streams.
 
-use agatepin_core::relay::events::{EventError, EventSplitter};
+use agatepin_core::relay::events::{
+    EventError, EventSplitter, MAX_EVENT_BYTES, MAX_UNNUMBERED_BYTES,
+};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -73,3 +75,43 @@
     assert!(!splitter.is_between_events());
     assert_eq!(splitter.push(b"\n").unwrap().events, 1);
 }
+
+/// Guards against an upstream that sends bytes without end that are no numbered events.
+#[test]
+fn events_without_an_id_end_a_stream_that_has_too_many_bytes_of_them() {
+    for filler in [": comment\n\n", "\n", "\r\n", "data: x\n\n"] {
+        let mut splitter = EventSplitter::default();
+        splitter.push(&stream(1, 2)).unwrap();
+        let endless = filler.repeat(100);
+        let mut forwarded = 0;
+        let end = loop {
+            match splitter.push(endless.as_bytes()) {
+                Ok(batch) => forwarded += batch.bytes.len(),
+                Err(err) => break err,
+            }
+        };
+        assert_eq!(end, EventError::Unnumbered, "{filler:?}");
+        assert!(forwarded <= MAX_UNNUMBERED_BYTES, "{filler:?}");
+    }
+}
+
+#[test]
+fn a_numbered_event_allows_further_events_without_an_id() {
+    let mut splitter = EventSplitter::default();
+    let comment = format!(": {}\n\n", "x".repeat(MAX_UNNUMBERED_BYTES / 2));
+    for id in 1..8 {
+        assert!(splitter.push(comment.as_bytes()).is_ok());
+        assert!(splitter.push(&stream(id, id)).is_ok());
+    }
+}
+
+#[test]
+fn a_line_without_end_ends_a_stream() {
+    let mut splitter = EventSplitter::default();
+    let part = [b'x'; 64];
+    let mut parts = 0;
+    while splitter.push(&part).is_ok() {
+        parts += 1;
+    }
+    assert_eq!(parts, MAX_EVENT_BYTES / part.len());
+}
