Relay: a worker that left is not kept for an outage that others did not have

What callers saw: in a test, requests for 2 s more at a worker whose row had been removed. Whether the users saw this is not shown. Change: heartbeats say for how long the store has answered each read of the entry. If that covers the time in which this entry's reads failed, it was no outage, and a removed row is a worker that left. In an outage of all entries nothing changes.

--- a/crates/agatepin/src/relay/broadcast.rs
+++ b/crates/agatepin/src/relay/broadcast.rs
@@ -194,6 +194,7 @@
     fn build_heartbeat(&self, now: Instant) -> EntryHeartbeat {
         let ready = self.fleet.is_ready();
         let copy_status = self.mirror.copy_status();
+        let answered_ms = copy_status.answered_for.as_millis();
         let changes = copy_status
             .changes
             .into_iter()
@@ -219,6 +220,7 @@
                 region: self.own.region.clone(),
                 reads_store: copy_status.reads_store,
                 changes: changes.collect(),
+                answered_ms: u64::try_from(answered_ms).unwrap_or(u64::MAX),
             }
         })
     }
--- a/crates/agatepin/src/relay/datagram.rs
+++ b/crates/agatepin/src/relay/datagram.rs
@@ -209,6 +209,10 @@
     /// Newest change that the entry knows of each table of the store.
     #[prost(message, repeated, tag = "11")]
     pub changes: Vec<TableChange>,
+    /// Time since which the store has answered each read of the entry, in milliseconds; 0 if it
+    /// answered none since the last failed one.
+    #[prost(uint64, tag = "12")]
+    pub answered_ms: u64,
 }
 
 /// Newest change that an entry knows of one table of the store.
@@ -233,6 +237,7 @@
         CopyStatus {
             reads_store: self.reads_store,
             changes: changes.collect(),
+            answered_for: Duration::from_millis(self.answered_ms),
         }
     }
 
--- a/crates/agatepin/src/relay/mirror.rs
+++ b/crates/agatepin/src/relay/mirror.rs
@@ -3,7 +3,7 @@
 //! reads the table of entries itself. While the store does not answer, an entry takes rows from any
 //! other entry that has newer ones.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -82,8 +82,11 @@
     own_name: String,
     /// Region of this entry.
     region: RegionId,
-    /// Time when the store last answered again after failed reads; none before.
+    /// End of the store's last outage; none before. Reads that failed for this entry alone are no
+    /// outage.
     store_regained: Rc<RefCell<Option<Instant>>>,
+    /// Time since which the store has answered each read of this entry; none after a failed one.
+    answered_since: Rc<Cell<Option<Instant>>>,
 }
 
 impl<Store, Dialect> TableMirror<Store, Dialect>
@@ -106,21 +109,21 @@
             own_name: identity.name.clone(),
             region: identity.region.clone(),
             store_regained: Rc::default(),
+            answered_since: Rc::default(),
         }
     }
 
     /// Keeps the copy of one table up to date until the task is dropped.
     pub async fn run(self, table: MirrorTable) {
-        let mut store_lost = false;
+        // Start of the first failed read since the store's last answer.
+        let mut lost_since = None;
         loop {
-            match self.step(table, store_lost).await {
+            let started = Instant::now();
+            match self.step(table, lost_since.is_some()).await {
                 Ok(StepOutcome::Waited) => {}
                 Ok(StepOutcome::Read { changes }) => {
-                    if store_lost {
-                        log::info!(table:?; "store regained");
-                        *self.store_regained.borrow_mut() = Some(Instant::now());
-                        store_lost = false;
-                        self.remove_lapsed_later();
+                    if let Some(since) = lost_since.take() {
+                        self.record_regained(table, since);
                     }
                     if changes > 0 {
                         sleep(pause_after_changes(table)).await;
@@ -131,12 +134,13 @@
                     self.require_full_read(table);
                 }
                 Err(err) => {
-                    if !store_lost {
+                    if lost_since.is_none() {
                         // The first failed read of the table since the store's last answer; further
                         // failed reads are not logged.
                         log::warn!(table:?, err:?; "store lost");
                     }
-                    store_lost = true;
+                    lost_since.get_or_insert(started);
+                    self.answered_since.set(None);
                     self.pull_from_entries(table).await;
                     sleep(FAILURE_PAUSE).await;
                 }
@@ -144,6 +148,21 @@
         }
     }
 
+    /// Records that the store answers again, after the reads of `table` had failed from `since` on.
+    /// It was no outage, in which rows may have expired, if other entries had answers all the time.
+    fn record_regained(&self, table: MirrorTable, since: Instant) {
+        let now = Instant::now();
+        let others_answered = self
+            .fleet
+            .with(|fleet| fleet.table_copies.has_answered_since(since, now));
+        log::info!(table:?, others_answered; "store regained");
+        if others_answered {
+            return;
+        }
+        *self.store_regained.borrow_mut() = Some(now);
+        self.remove_lapsed_later();
+    }
+
     /// Reads the store, or takes rows from other entries if this entry may rely on their reads. With
     /// `store_lost` (the last read failed), always reads the store, to notice when it answers again.
     async fn step(&self, table: MirrorTable, store_lost: bool) -> Result<StepOutcome, StoreError> {
@@ -225,7 +244,11 @@
         };
         let changes = read.rows.len();
         let may_have_lapsed = self.may_have_lapsed();
-        self.with_copy(table, |copy| copy.answered_at = Some(Instant::now()));
+        let now = Instant::now();
+        self.with_copy(table, |copy| copy.answered_at = Some(now));
+        if self.answered_since.get().is_none() {
+            self.answered_since.set(Some(now));
+        }
         if fully_read {
             self.apply_changes(table, read, may_have_lapsed);
             return Ok(changes);
@@ -465,9 +488,11 @@
             let copy = copies.get(table)?;
             Some((*table, copy.last_change))
         });
+        let answered_since = self.answered_since.get();
         CopyStatus {
             reads_store,
             changes: changes.collect(),
+            answered_for: answered_since.map_or(Duration::ZERO, |since| since.elapsed()),
         }
     }
 }
--- a/crates/agatepin/src/relay/server.rs
+++ b/crates/agatepin/src/relay/server.rs
@@ -193,7 +193,7 @@
             "data_centre": state.listing.data_centre, "draining": state.listing.draining,
             "usable": state.is_usable(now), "cold": state.is_cold(now),
             "weights": state.weights(now), "load": state.load(now), "unread": state.unread(now),
-            "own_in_flight": state.own.in_flight,
+            "own_in_flight": state.own.in_flight, "lapsed": state.is_lapsed(),
         })
     });
     let weights = fleet.weights.iter().map(|(model, schedule)| {
--- a/crates/core/src/relay/readers.rs
+++ b/crates/core/src/relay/readers.rs
@@ -23,6 +23,9 @@
         pub reads_store: bool,
         /// Version of the newest change that the entry knows, by table.
         pub changes: BTreeMap<Table, u64>,
+        /// Time since which the store has answered each read of the entry; zero if it answered none
+        /// since the last failed one.
+        pub answered_for: Duration,
     }
 
     /// Where rows of a table that are newer than the known ones are available.
@@ -96,6 +99,16 @@
         before >= READERS_PER_REGION && self.recent(now).any(|state| state.copy_status.reads_store)
     }
 
+    /// Whether the store has answered each read of another entry since `since`. Then it was not down
+    /// meanwhile, even if this entry could not reach it.
+    #[must_use]
+    pub fn has_answered_since(&self, since: Instant, now: Instant) -> bool {
+        self.recent(now).any(|state| {
+            let status = &state.copy_status;
+            status.reads_store && since + status.answered_for >= state.updated_at
+        })
+    }
+
     /// Where rows of `table` newer than `version` are available; `None` if no entry has any.
     #[must_use]
     pub fn newer_rows(&self, table: Table, version: u64, now: Instant) -> Option<NewerRows> {
--- a/crates/core/src/relay/upstreams.rs
+++ b/crates/core/src/relay/upstreams.rs
@@ -183,6 +183,12 @@
         }
     }
 
+    /// Whether the upstream left the list while the store was unreachable, and may be listed again.
+    #[must_use]
+    pub fn is_lapsed(&self) -> bool {
+        self.lapsed
+    }
+
     /// Whether the upstream's cold start is not over yet.
     #[must_use]
     pub fn is_cold(&self, now: Instant) -> bool {
--- a/crates/core/tests/relay/readers.rs
+++ b/crates/core/tests/relay/readers.rs
@@ -16,6 +16,7 @@
     CopyStatus {
         reads_store,
         changes: [(TABLE, change)].into(),
+        answered_for: Duration::ZERO,
     }
 }
 
@@ -49,6 +50,24 @@
     assert!(!directory.may_skip_store(&names[3], names[..3].iter(), now + READER_TIMEOUT));
 }
 
+#[test]
+fn the_store_was_up_if_it_answered_each_read_of_another_entry() {
+    let (names, now) = (names(), Instant::now());
+    let since = now.checked_sub(Duration::from_secs(5)).unwrap();
+    let mut directory = ReaderDirectory::default();
+    for (answered_s, reads_store, expected) in
+        [(4, true, false), (6, false, false), (6, true, true)]
+    {
+        let status = CopyStatus {
+            answered_for: Duration::from_secs(answered_s),
+            ..status(reads_store, 5)
+        };
+        directory.update(&names[0], overlay(1), true, status, now);
+        assert_eq!(directory.has_answered_since(since, now), expected);
+    }
+    assert!(!directory.has_answered_since(since, now + READER_TIMEOUT));
+}
+
 #[test]
 fn newer_rows_come_from_the_same_region_if_an_entry_there_has_them() {
     let (names, now) = (names(), Instant::now());
