Relay: rows that expired in an outage are lapsed from the first read after it

What callers would see: after an outage of the store in which rows expired, an entry dropped these workers at once and refused requests until they had registered again, up to 2 s later. Cause: the end of the outage was recorded after the rows of the first read had been applied, so that this read took expired rows for workers that left, unless another table had been read again before. Change: the end is recorded before the rows are applied.

--- a/crates/agatepin/src/relay/mirror.rs
+++ b/crates/agatepin/src/relay/mirror.rs
@@ -85,6 +85,8 @@
     /// End of the store's last outage; none before. Reads that failed for this entry alone are no
     /// outage.
     store_regained: Rc<RefCell<Option<Instant>>>,
+    /// Start of the first failed read of each table since the store's last answer to a read of it.
+    lost_since: Rc<RefCell<BTreeMap<MirrorTable, Instant>>>,
     /// Time since which the store has answered each read of this entry; none after a failed one.
     answered_since: Rc<Cell<Option<Instant>>>,
 }
@@ -109,37 +111,32 @@
             own_name: identity.name.clone(),
             region: identity.region.clone(),
             store_regained: Rc::default(),
+            lost_since: Rc::default(),
             answered_since: Rc::default(),
         }
     }
 
     /// Keeps the copy of one table up to date until the task is dropped.
     pub async fn run(self, table: MirrorTable) {
-        // Start of the first failed read since the store's last answer.
-        let mut lost_since = None;
         loop {
             let started = Instant::now();
-            match self.step(table, lost_since.is_some()).await {
-                Ok(StepOutcome::Waited) => {}
-                Ok(StepOutcome::Read { changes }) => {
-                    if let Some(since) = lost_since.take() {
-                        self.record_regained(table, since);
-                    }
-                    if changes > 0 {
-                        sleep(pause_after_changes(table)).await;
-                    }
+            let store_lost = self.lost_since.borrow().contains_key(&table);
+            match self.step(table, store_lost).await {
+                Ok(StepOutcome::Read { changes }) if changes > 0 => {
+                    sleep(pause_after_changes(table)).await;
                 }
+                Ok(StepOutcome::Read { .. } | StepOutcome::Waited) => {}
                 Err(StoreError::HistoryGone) => {
                     log::info!(table:?; "store no longer retains the requested changes; reading all rows of the table");
                     self.require_full_read(table);
                 }
                 Err(err) => {
-                    if lost_since.is_none() {
+                    if !store_lost {
                         // The first failed read of the table since the store's last answer; further
                         // failed reads are not logged.
                         log::warn!(table:?, err:?; "store lost");
                     }
-                    lost_since.get_or_insert(started);
+                    self.lost_since.borrow_mut().entry(table).or_insert(started);
                     self.answered_since.set(None);
                     self.pull_from_entries(table).await;
                     sleep(FAILURE_PAUSE).await;
@@ -242,6 +239,11 @@
         } else {
             self.store.list(table).await?
         };
+        // Before the rows are applied: some may be missing because they expired in the outage.
+        let lost_since = self.lost_since.borrow_mut().remove(&table);
+        if let Some(since) = lost_since {
+            self.record_regained(table, since);
+        }
         let changes = read.rows.len();
         let may_have_lapsed = self.may_have_lapsed();
         let now = Instant::now();
