--- a/crates/agatepin/src/loader/cache.rs
+++ b/crates/agatepin/src/loader/cache.rs
@@ -47,6 +47,25 @@
         expected.is_some_and(|expected| *expected == sha256(data))
     }
 
+    /// Replaces the digests, and drops the pieces that do not match them.
+    pub fn set_digests(&mut self, digests: PieceDigests) {
+        self.digests = Some(digests);
+        let mut pieces = std::mem::take(&mut self.pieces);
+        pieces.retain(|piece, data| self.matches_digest(*piece, data));
+        self.pieces = pieces;
+    }
+
+    /// Those of the pieces `wanted` that are cached. The number after the last piece stands for the
+    /// digests.
+    #[must_use]
+    pub fn ready(&self, wanted: &[u32]) -> Vec<u32> {
+        let digests_item = self.digests.as_ref().map(|digests| digests.digests.len());
+        let is_ready = |piece: &u32| {
+            self.pieces.contains_key(piece) || digests_item == usize::try_from(*piece).ok()
+        };
+        wanted.iter().copied().filter(is_ready).collect()
+    }
+
     /// Whether the digests are known and all pieces are cached.
     #[must_use]
     pub fn is_complete(&self) -> bool {
@@ -66,13 +85,19 @@
 
 impl PieceCache {
     /// Calls `act` on the cached pieces of `version`, a new empty set if it has none, and wakes the
-    /// tasks that wait for pieces or digests.
+    /// tasks that wait for pieces or digests if `act` added some.
     pub fn with<Act, Out>(&self, version: WeightsVersion, act: Act) -> Out
     where
         Act: FnOnce(&mut VersionPieces) -> Out,
     {
-        let out = act(self.versions.borrow_mut().entry(version).or_default());
-        self.changed.notify_waiters();
+        let mut versions = self.versions.borrow_mut();
+        let pieces = versions.entry(version).or_default();
+        let held = |pieces: &VersionPieces| (pieces.pieces.len(), pieces.digests.is_some());
+        let before = held(pieces);
+        let out = act(pieces);
+        if held(pieces) != before {
+            self.changed.notify_waiters();
+        }
         out
     }
 
@@ -133,6 +158,35 @@
         self.wait_for(version, wait, find).await
     }
 
+    /// Those of the pieces `wanted` that are cached, as soon as there is one; none if that takes
+    /// longer than `wait`.
+    pub async fn wait_for_any(
+        &self,
+        version: WeightsVersion,
+        wanted: &[u32],
+        wait: Duration,
+    ) -> Option<Vec<u32>> {
+        let find = |pieces: &VersionPieces| {
+            Some(pieces.ready(wanted)).filter(|ready| !ready.is_empty())
+        };
+        self.wait_for(version, wait, find).await
+    }
+
+    /// A piece of another cached version with the digest of the piece `piece` of `version`.
+    #[must_use]
+    pub fn find_same_piece(&self, version: WeightsVersion, piece: u32) -> Option<Bytes> {
+        let versions = self.versions.borrow();
+        let digest = |pieces: &VersionPieces| {
+            let digests = pieces.digests.as_ref()?;
+            digests.digests.get(piece as usize).copied()
+        };
+        let expected = digest(versions.get(&version)?)?;
+        let mut same = versions
+            .values()
+            .filter(|pieces| digest(pieces) == Some(expected));
+        same.find_map(|pieces| pieces.pieces.get(&piece).cloned())
+    }
+
     /// The digests of a version, as soon as they are known; none if that takes longer than `wait`.
     pub async fn wait_for_digests(
         &self,
--- a/crates/agatepin/src/loader/daemon.rs
+++ b/crates/agatepin/src/loader/daemon.rs
@@ -12,9 +12,10 @@
 
 use crate::loader::cache::PieceCache;
 use crate::loader::monitor::{EngineMonitor, LoadReporter};
-use crate::loader::pieces::{PieceFetcher, PieceServer};
+use crate::loader::pieces::PieceFetcher;
 use crate::loader::stage::StageWriter;
 use crate::loader::swap::{SwapFlag, WeightSwapper};
+use crate::loader::uploads::PieceServer;
 use crate::loader::view::{self, SharedView};
 use crate::relay::datagram::{self, DatagramBody};
 use crate::relay::ports::{EnginePort, MirrorTable, TableStore, WireDialect};
@@ -52,6 +53,9 @@
         pub first_start: bool,
         /// Maximum rate of the machine's network link, in bytes a second; 0 for no limit.
         pub link_bytes_per_second: u64,
+        /// Maximum number of agents of the fleet that request pieces from the origin, one at a time
+        /// each. Where there are more regions, one agent of each region does.
+        pub origin_fetchers: usize,
     }
 }
 
@@ -125,6 +129,7 @@
             holds: None,
         },
         first_start: options.first_start,
+        origin_fetchers: options.origin_fetchers,
     };
     actix_rt::spawn(fetcher.clone().run(options.service.clone()));
     let swapper = WeightSwapper {
--- a/crates/agatepin/src/loader/mod.rs
+++ b/crates/agatepin/src/loader/mod.rs
@@ -8,4 +8,6 @@
 pub mod pieces;
 pub mod stage;
 pub mod swap;
+pub mod uploads;
 pub mod view;
+pub mod watch;
--- a/crates/agatepin/src/loader/pieces.rs
+++ b/crates/agatepin/src/loader/pieces.rs
@@ -1,92 +1,73 @@
-//! Transfers the pieces of weights versions. [`PieceFetcher`] fetches them for this agent: from its
-//! engine's stage (the area that the engine loads weights from), from other agents, and from the
-//! origin (the server of all announced weights) if this agent is chosen to fetch a piece from the
-//! origin or no other agent has the piece. [`PieceServer`] serves them to other agents.
+//! Fetches the pieces of weights versions: from the engine's stage (the area that the engine loads
+//! weights from), from other agents, and from the origin (the server of all announced weights) if it
+//! is this agent's turn there.
 
 use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use agatepin_core::budget::LinkBudget;
 use agatepin_core::ids::ServiceId;
 use agatepin_core::rank;
-use agatepin_core::relay::sources::{PieceAgent, PieceSource, SourcePlanner};
+use agatepin_core::relay::piece_fetch::PieceFetch;
+use agatepin_core::relay::sources::{PieceAgent, PieceSource, SourceLimits, SourcePlanner};
 use bytes::{Bytes, BytesMut};
-use eyre::{Result, bail};
+use eyre::{Result, bail, eyre};
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use socket2::SockRef;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
-use tokio::sync::Semaphore;
 use tokio::time::{sleep, timeout};
 
 use crate::loader::cache::PieceCache;
 use crate::loader::monitor::EngineMonitor;
 use crate::loader::stage::StageWriter;
 use crate::loader::view::{LoadPlan, SharedView};
-use crate::relay::overlay::{self, DigestsQuery, PieceQuery, PullAnswer, PullClient, PullQuery};
+use crate::loader::watch::{PeerWatches, WatchEvent};
+use crate::relay::overlay::{self, DigestsQuery, PieceQuery, PullClient, PullQuery};
 use crate::relay::ports::{EnginePort, PieceDigests};
 
-/// Maximum number of pieces that a fetch requests at a time.
-const PARALLEL_PIECES: usize = 6;
+/// Maximum number of pieces that a fetch requests at a time. More would not fill the link better,
+/// but each would take longer, and other agents wait for it.
+const PARALLEL_PIECES: usize = 4;
 /// Bytes of a piece that are requested at once. Callers' requests to the engine arrive over the same
 /// link and queue behind the ranges in flight, of which there are [`PARALLEL_PIECES`] at most.
 const RANGE_BYTES: u32 = 4 * 1024;
-/// Maximum number of answers with a piece or with digests that are sent to other agents at a time.
-const PARALLEL_UPLOADS: usize = 6;
-/// Percentage of the link's rate that uploads of pieces may use: events of the engine's streams are
-/// sent over the same link and must not queue behind them.
-const UPLOAD_LINK_PERCENT: u64 = 88;
-/// Bytes of a piece that are written at once, and the burst of the upload's rate limit.
-const UPLOAD_CHUNK_BYTES: usize = 4 * 1024;
-/// Time for which a pull of a piece that this agent does not have yet waits for the piece.
-const MISSING_PIECE_WAIT: Duration = Duration::from_millis(150);
 /// Timeout of the pull of a piece, including the wait at its source and the transfer over a busy
-/// link; also of each write of an upload.
+/// link.
 const PULL_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// Time from the start of a fetch in which a piece that its source does not have yet is retried
-/// later. After it, the next source is asked at once, in the end the origin: a version must be
-/// served everywhere within 8 s.
-const PEERS_ONLY_TIME: Duration = Duration::from_secs(5);
-/// Number of requests for a piece that its source answers with "not found" before the next agent in
-/// the planner's order of sources is asked: with the wait at the source about two seconds. Asking
-/// it sooner would send all agents of the region to the importer, the one that fetches the piece
-/// from outside the region.
-const TRIES_PER_SOURCE: usize = 13;
-/// Pause after a fetch that did not get all pieces of its version, before the next fetch.
+/// Time for which a connection to another agent is kept for the next piece; shorter than the time
+/// after which that agent closes it.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Pause after a fetch that ended without all pieces of its version, before the next fetch.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Interval at which the fetcher checks whether a version to fetch was announced, and whether the
 /// engine responds while the fetch has to wait for it.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// Timeout of the pull of digests from another agent. An agent that is asked for digests that it
-/// does not have yet waits half of this time for them.
-const DIGESTS_TIMEOUT: Duration = Duration::from_millis(700);
-/// Number that stands for the digests where sources are ranked by piece; no piece has it.
-const DIGESTS_PIECE: u32 = u32::MAX;
+/// Interval at which a fetch checks for pieces that it may now request from other sources.
+const FETCH_TICK: Duration = Duration::from_millis(50);
+/// Interval at which a fetch checks whether the known agents have changed.
+const AGENTS_INTERVAL: Duration = Duration::from_millis(250);
+/// Number of times that a piece may differ from its digest before the digests are fetched again:
+/// either may be wrong.
+const MAX_MISMATCHES: u32 = 3;
 /// Length of a SHA-256 digest, in bytes.
 const DIGEST_BYTES: usize = 32;
 
-/// A piece that is not cached yet.
-#[derive(Clone, Copy)]
-struct MissingPiece {
-    /// Number of the piece, from 0.
-    piece: u32,
-    /// Number of requests for the piece that ended with [`FetchOutcome::NotReady`].
-    tries: usize,
-}
-
-/// Result of one request for a piece.
+/// Outcome of a request for a piece or for the digests.
 enum FetchOutcome {
-    /// The piece, verified, and where it came from.
-    Fetched(Bytes, PieceSource),
-    /// The agent that was asked does not have it yet; to be retried.
-    NotReady,
-    /// All sources failed, or their data did not match the piece's digest.
-    NoSource,
+    /// It arrived, matches its digest, and is cached.
+    Fetched,
+    /// The source could not be reached.
+    Lost,
+    /// The source failed, or does not have the piece.
+    Failed,
+    /// The piece differs from its digest.
+    Corrupt,
 }
 
+/// Open connections to other agents that no pull uses, with the time of their last use.
+type IdleClients = RefCell<BTreeMap<SocketAddr, (PullClient, Instant)>>;
+
 /// Fetches the announced version for one agent.
 #[derive(Clone)]
 pub struct PieceFetcher<Engine> {
@@ -105,6 +86,8 @@
     /// Whether the whole system starts for the first time: engines already hold their weights and
     /// have them staged, so nothing is fetched before the engine responds.
     pub first_start: bool,
+    /// Maximum number of agents of the fleet that request pieces from the origin.
+    pub origin_fetchers: usize,
 }
 
 impl<Engine> PieceFetcher<Engine>
@@ -162,98 +145,134 @@
         agents.iter().any(|agent| agent.holds == Some(plan.version))
     }
 
-    /// Fetches the digests of a version and then its missing pieces.
+    /// Fetches the digests of a version and then its missing pieces. Ends early if the digests turn
+    /// out to be wrong.
     async fn fetch(&self, plan: &LoadPlan) {
         let started = Instant::now();
-        if !self.fetch_digests(plan).await {
-            return;
+        let digests_item = plan.engine.pieces;
+        let has_digests = |cache: &PieceCache| {
+            cache.with(plan.version, |pieces| pieces.digests.is_some())
+        };
+        if !has_digests(&self.cache) {
+            self.fetch_items(plan, vec![digests_item]).await;
+        }
+        if self.cache.newest_complete_version().is_none() {
+            self.reuse_staged(plan).await;
         }
-        self.reuse_staged(plan).await;
-        let missing = self.missing(plan);
+        self.reuse_cached(plan);
+        let missing: Vec<u32> = self.cache.with(plan.version, |pieces| {
+            let all = 0..plan.engine.pieces;
+            all.filter(|piece| !pieces.pieces.contains_key(piece))
+                .collect()
+        });
         let total = missing.len();
-        let mut unrequested = missing;
+        let from_origin = self.fetch_items(plan, missing).await;
+        // `total` counts the pieces that were neither cached nor staged, `from_origin` those fetched
+        // from the origin; `ms` is the duration of the fetch.
+        let complete = self.cache.is_complete(plan.version);
+        let ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let version = plan.version;
+        log::info!(version, total, from_origin, complete, ms; "pieces fetched");
+    }
+
+    /// Fetches `items`, which are pieces or the digests. Returns the number of those fetched from
+    /// the origin. Ends early if the digests turn out to be wrong.
+    async fn fetch_items(&self, plan: &LoadPlan, items: Vec<u32>) -> usize {
+        let mut agents = self.agents();
+        let mut agents_at = Instant::now();
+        let seed = rank::seed(self.own.overlay.to_string().as_bytes());
+        let mut fetch = PieceFetch::new(
+            self.planner(plan, &agents),
+            items,
+            PARALLEL_PIECES,
+            seed,
+            agents_at,
+        );
+        let mut watches = PeerWatches::new(plan.clone());
+        let idle_clients = IdleClients::default();
+        let stage_queue = Rc::new(RefCell::new(VecDeque::new()));
         let mut running = FuturesUnordered::new();
+        let mut staging = FuturesUnordered::new();
+        let mut mismatches: BTreeMap<u32, u32> = BTreeMap::new();
         let mut from_origin = 0;
-        let mut origin_ms = 0;
-        loop {
-            while running.len() < PARALLEL_PIECES
-                && let Some(piece) = self.next_piece(plan, &mut unrequested)
-            {
-                running.push(self.fetch_piece(plan, piece, started));
+        while !fetch.is_complete() {
+            let now = Instant::now();
+            if now.saturating_duration_since(agents_at) >= AGENTS_INTERVAL {
+                agents_at = now;
+                let known = self.agents();
+                if known != agents {
+                    agents = known;
+                    fetch.set_planner(self.planner(plan, &agents));
+                }
             }
-            let Some((missing, outcome)) = running.next().await else {
-                break;
-            };
-            let piece = missing.piece;
-            match outcome {
-                FetchOutcome::Fetched(data, source) => {
-                    if source == PieceSource::Origin {
-                        from_origin += 1;
-                        origin_ms = started.elapsed().as_millis();
+            watches.set_wanted(fetch.watches(now));
+            let wanted = self.cache.wanted(plan.version);
+            while let Some((item, source)) = fetch.next(&wanted, now) {
+                running.push(self.request(plan, item, source, &idle_clients));
+            }
+            if staging.is_empty() && !stage_queue.borrow().is_empty() {
+                staging.push(self.prestage(plan, &stage_queue));
+            }
+            tokio::select! {
+                Some((item, source, outcome)) = running.next(), if !running.is_empty() => {
+                    let now = Instant::now();
+                    match outcome {
+                        FetchOutcome::Fetched => {
+                            from_origin += usize::from(source == PieceSource::Origin);
+                            fetch.record_fetched(item, &source, now);
+                            stage_queue.borrow_mut().push_back(item);
+                            continue;
+                        }
+                        FetchOutcome::Lost => {
+                            if let PieceSource::Agent(peer) = source {
+                                fetch.record_lost(peer, now);
+                            }
+                        }
+                        FetchOutcome::Failed => {}
+                        FetchOutcome::Corrupt => {
+                            let count = mismatches.entry(item).or_default();
+                            *count += 1;
+                            if *count >= MAX_MISMATCHES {
+                                log::warn!(version = plan.version, piece = item; "digests dropped");
+                                self.cache.with(plan.version, |pieces| pieces.digests = None);
+                                return from_origin;
+                            }
+                        }
                     }
-                    self.prestage(plan, piece, data.clone()).await;
-                    self.cache
-                        .with(plan.version, |pieces| pieces.pieces.insert(piece, data));
+                    fetch.record_failed(item, source, now);
                 }
-                FetchOutcome::NotReady => unrequested.push(MissingPiece {
-                    piece,
-                    tries: missing.tries + 1,
-                }),
-                FetchOutcome::NoSource => {
-                    log::warn!(version = plan.version, piece; "no source has the piece");
+                Some(()) = staging.next(), if !staging.is_empty() => {}
+                Some(event) = watches.next_event() => {
+                    let mut event = Some(event);
+                    while let Some(news) = event {
+                        let now = Instant::now();
+                        match news {
+                            WatchEvent::Ready(peer, pieces) => {
+                                fetch.record_ready(peer, &pieces, now);
+                            }
+                            WatchEvent::Lost(peer) => fetch.record_lost(peer, now),
+                        }
+                        event = watches.try_event();
+                    }
                 }
+                () = sleep(FETCH_TICK) => {}
             }
         }
-        // Logged at the end of each fetch, also if `complete` is false. `total` counts the pieces
-        // that were neither cached nor staged at its start, `from_origin` those fetched from the
-        // origin; `origin_ms` is the time from the start to the last of these (0 for none), `ms`
-        // the duration of the fetch.
-        let complete = self.cache.is_complete(plan.version);
-        let ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
-        let version = plan.version;
-        let origin_ms = u64::try_from(origin_ms).unwrap_or(u64::MAX);
-        log::info!(version, total, from_origin, origin_ms, complete, ms; "pieces fetched");
-    }
-
-    /// Pieces of the version that are not cached, in the order in which this agent requests them.
-    fn missing(&self, plan: &LoadPlan) -> Vec<MissingPiece> {
-        let own = rank::seed(self.own.overlay.to_string().as_bytes());
-        let mut missing: Vec<u32> = self.cache.with(plan.version, |pieces| {
-            let all = 0..plan.engine.pieces;
-            all.filter(|piece| !pieces.pieces.contains_key(piece))
-                .collect()
-        });
-        // Each agent requests the pieces in an order of its own, so that agents do not all request
-        // the same piece from the same source at once.
-        missing.sort_by_cached_key(|piece| rank::score_seeds(own, u64::from(*piece)));
-        let pieces = missing.into_iter();
-        pieces
-            .map(|piece| MissingPiece { piece, tries: 0 })
-            .collect()
+        from_origin
     }
 
-    /// Removes from `unrequested` the piece to request next: one that another agent requested from
-    /// this agent, else one that this agent fetches from the origin or imports into its region for
-    /// others, else the first.
-    fn next_piece(
-        &self,
-        plan: &LoadPlan,
-        unrequested: &mut Vec<MissingPiece>,
-    ) -> Option<MissingPiece> {
-        let planner = self.planner(plan);
-        let wanted = self.cache.wanted(plan.version);
-        let indexed = unrequested.iter().enumerate();
-        let (index, _) = indexed.min_by_key(|(index, missing)| {
-            let piece = missing.piece;
-            (!wanted.contains(&piece), planner.role(piece), *index)
-        })?;
-        Some(unrequested.remove(index))
+    /// The known agents.
+    fn agents(&self) -> Vec<PieceAgent> {
+        self.view.borrow_mut().agents(Instant::now())
     }
 
-    /// A planner that ranks the sources of each piece among the agents in the view.
-    fn planner(&self, plan: &LoadPlan) -> SourcePlanner {
-        let agents = self.view.borrow_mut().agents(Instant::now());
-        SourcePlanner::new(&agents, &self.own, plan.version)
+    /// A planner that ranks the sources of each piece among `agents`.
+    fn planner(&self, plan: &LoadPlan, agents: &[PieceAgent]) -> SourcePlanner {
+        let limits = SourceLimits {
+            pieces: plan.engine.pieces,
+            fetchers: self.origin_fetchers,
+        };
+        SourcePlanner::new(agents, &self.own, plan.version, limits)
     }
 
     /// Caches the pieces of the version that the engine's stage already has.
@@ -272,149 +291,174 @@
         }
     }
 
-    /// Stages a piece as soon as it is fetched, so that it survives a restart of this agent.
-    async fn prestage(&self, plan: &LoadPlan, piece: u32, data: Bytes) {
-        if self.monitor.state().is_none() {
-            return;
-        }
-        if let Err(err) = self.writer.prestage(&plan.model, piece, data).await {
-            log::info!(piece, err:?; "cannot stage a piece ahead of its load");
+    /// Caches the pieces that are the same as in another cached version.
+    fn reuse_cached(&self, plan: &LoadPlan) {
+        for piece in 0..plan.engine.pieces {
+            if let Some(data) = self.cache.find_same_piece(plan.version, piece) {
+                self.cache
+                    .with(plan.version, |pieces| pieces.pieces.insert(piece, data));
+            }
         }
     }
 
-    /// Fetches the digests of the version unless they are cached. Returns whether they are cached.
-    async fn fetch_digests(&self, plan: &LoadPlan) -> bool {
-        if self
-            .cache
-            .with(plan.version, |pieces| pieces.digests.is_some())
-        {
-            return true;
-        }
-        for source in self.planner(plan).sources(DIGESTS_PIECE) {
-            let digests = match &source {
-                PieceSource::Agent(peer) => self.pull_digests(*peer, plan).await,
-                PieceSource::Origin => self.origin_digests(plan).await,
+    /// Stages the pieces of `queue` as soon as they are fetched, so that they survive a restart of
+    /// this agent.
+    async fn prestage(&self, plan: &LoadPlan, queue: &RefCell<VecDeque<u32>>) {
+        loop {
+            let piece = queue.borrow_mut().pop_front();
+            let Some(piece) = piece.filter(|_| self.monitor.state().is_some()) else {
+                return;
             };
-            let Some(digests) = digests else {
+            let data = self
+                .cache
+                .with(plan.version, |pieces| pieces.pieces.get(&piece).cloned());
+            let Some(data) = data else {
                 continue;
             };
-            if digests.digests.len() != plan.engine.pieces as usize {
-                log::warn!(source:?, pieces = digests.digests.len(); "wrong number of digests");
-                continue;
+            if let Err(err) = self.writer.prestage(&plan.model, piece, data).await {
+                log::info!(piece, err:?; "cannot stage a piece ahead of its load");
             }
-            self.cache
-                .with(plan.version, |pieces| pieces.digests = Some(digests));
-            return true;
         }
-        false
     }
 
-    async fn pull_digests(&self, peer: SocketAddr, plan: &LoadPlan) -> Option<PieceDigests> {
-        let query = PullQuery::Digests(DigestsQuery {
-            model: plan.model.clone(),
-            version: plan.version,
-        });
-        let answer = match overlay::pull(peer, query, DIGESTS_TIMEOUT).await {
-            Ok(answer) if answer.found => answer,
-            Ok(_) => return None,
-            Err(err) => {
-                log::info!(peer:%, err:%; "cannot pull digests");
-                return None;
-            }
+    /// Requests a piece or the digests from `source` and caches it.
+    async fn request(
+        &self,
+        plan: &LoadPlan,
+        item: u32,
+        source: PieceSource,
+        idle_clients: &IdleClients,
+    ) -> (u32, PieceSource, FetchOutcome) {
+        let outcome = match item == plan.engine.pieces {
+            true => self.request_digests(plan, source).await,
+            false => self.request_piece(plan, item, source, idle_clients).await,
         };
-        let chunks = answer.data.chunks_exact(DIGEST_BYTES);
-        let digests = chunks.filter_map(|chunk| chunk.try_into().ok()).collect();
-        Some(PieceDigests { digests })
+        (item, source, outcome)
     }
 
-    async fn origin_digests(&self, plan: &LoadPlan) -> Option<PieceDigests> {
-        let origin = plan.origin?;
-        match self.engine.digests(origin, &plan.model, plan.version).await {
-            Ok(digests) => Some(digests),
+    async fn request_digests(&self, plan: &LoadPlan, source: PieceSource) -> FetchOutcome {
+        let digests = match source {
+            PieceSource::Agent(peer) => pull_digests(peer, plan).await,
+            PieceSource::Origin => self.origin_digests(plan).await,
+        };
+        let digests = match digests {
+            Ok(digests) => digests,
             Err(err) => {
-                log::warn!(version = plan.version, err:?; "cannot fetch digests from the origin");
-                None
+                log::warn!(version = plan.version, source:?, err:%; "cannot fetch digests");
+                return FetchOutcome::Failed;
             }
+        };
+        if digests.digests.len() != plan.engine.pieces as usize {
+            log::warn!(source:?, pieces = digests.digests.len(); "wrong number of digests");
+            return FetchOutcome::Failed;
         }
+        self.cache
+            .with(plan.version, |pieces| pieces.set_digests(digests));
+        FetchOutcome::Fetched
+    }
+
+    async fn origin_digests(&self, plan: &LoadPlan) -> Result<PieceDigests> {
+        let origin = plan
+            .origin
+            .ok_or_else(|| eyre!("the configuration has no origin"))?;
+        let digests = self.engine.digests(origin, &plan.model, plan.version);
+        digests.await.map_err(|err| eyre!("{err:?}"))
     }
 
-    /// Requests a piece from its sources, one after the other, until one provides it.
-    /// `fetch_started` is the start of the fetch of the version.
-    async fn fetch_piece(
+    async fn request_piece(
         &self,
         plan: &LoadPlan,
-        missing: MissingPiece,
-        fetch_started: Instant,
-    ) -> (MissingPiece, FetchOutcome) {
-        let piece = missing.piece;
-        let sources = self.planner(plan).sources(piece);
-        // At least one agent is asked before the origin, which is the last source.
-        let skipped = (missing.tries / TRIES_PER_SOURCE).min(sources.len().saturating_sub(2));
-        for source in sources.into_iter().skip(skipped) {
-            let data = match &source {
-                PieceSource::Agent(peer) => match self.pull_piece(*peer, plan, piece).await {
-                    Ok(Some(data)) => data,
-                    Ok(None) if fetch_started.elapsed() < PEERS_ONLY_TIME => {
-                        return (missing, FetchOutcome::NotReady);
-                    }
-                    Ok(None) => continue,
+        piece: u32,
+        source: PieceSource,
+        idle_clients: &IdleClients,
+    ) -> FetchOutcome {
+        let version = plan.version;
+        let data = match source {
+            PieceSource::Agent(peer) => {
+                let client = match idle_client(peer, idle_clients).await {
+                    Ok(client) => client,
                     Err(err) => {
-                        log::info!(peer:%, piece, err:%; "cannot pull a piece");
-                        self.view.borrow_mut().remove_agent(*peer);
-                        continue;
+                        log::info!(peer:%, piece, err:%; "agent lost");
+                        return FetchOutcome::Lost;
                     }
-                },
-                PieceSource::Origin => match self.origin_piece(plan, piece).await {
-                    Some(data) => data,
-                    None => continue,
-                },
-            };
-            if self
-                .cache
-                .with(plan.version, |pieces| pieces.matches_digest(piece, &data))
-            {
-                return (missing, FetchOutcome::Fetched(data, source));
-            }
-            log::warn!(piece, version = plan.version, source:?; "piece does not match its digest");
-            if source == PieceSource::Origin {
-                // Either the piece or its digest is wrong. While no piece has matched, the digests
-                // are fetched again with the next attempt.
-                self.cache.with(plan.version, |pieces| {
-                    if pieces.pieces.is_empty() {
-                        pieces.digests = None;
+                };
+                let pull = pull_ranges(client, plan, piece);
+                match timeout(PULL_TIMEOUT, pull).await {
+                    Ok(Ok((data, client))) => {
+                        let idle = (client, Instant::now());
+                        idle_clients.borrow_mut().insert(peer, idle);
+                        data
                     }
-                });
+                    Ok(Err(err)) => {
+                        log::info!(peer:%, piece, version, err:%; "cannot pull a piece");
+                        return FetchOutcome::Failed;
+                    }
+                    Err(_) => {
+                        log::info!(peer:%, piece, version; "pull of a piece timed out");
+                        return FetchOutcome::Failed;
+                    }
+                }
             }
+            PieceSource::Origin => match self.origin_piece(plan, piece).await {
+                Ok(data) => data,
+                Err(err) => {
+                    log::warn!(piece, version, err:%; "cannot fetch a piece from the origin");
+                    return FetchOutcome::Failed;
+                }
+            },
+        };
+        let matches = self.cache.with(version, |pieces| {
+            let matches = pieces.matches_digest(piece, &data);
+            if matches {
+                pieces.pieces.insert(piece, data);
+            }
+            matches
+        });
+        if matches {
+            return FetchOutcome::Fetched;
         }
-        (missing, FetchOutcome::NoSource)
+        log::warn!(piece, version, source:?; "piece does not match its digest");
+        FetchOutcome::Corrupt
     }
 
-    async fn pull_piece(
-        &self,
-        peer: SocketAddr,
-        plan: &LoadPlan,
-        piece: u32,
-    ) -> Result<Option<Bytes>> {
-        timeout(PULL_TIMEOUT, pull_ranges(peer, plan, piece)).await?
+    async fn origin_piece(&self, plan: &LoadPlan, piece: u32) -> Result<Bytes> {
+        let origin = plan
+            .origin
+            .ok_or_else(|| eyre!("the configuration has no origin"))?;
+        let data = self.engine.piece(origin, &plan.model, plan.version, piece);
+        data.await.map_err(|err| eyre!("{err:?}"))
     }
+}
 
-    async fn origin_piece(&self, plan: &LoadPlan, piece: u32) -> Option<Bytes> {
-        let origin = plan.origin?;
-        let (model, version) = (&plan.model, plan.version);
-        match self.engine.piece(origin, model, version, piece).await {
-            Ok(data) => Some(data),
-            Err(err) => {
-                log::warn!(piece, version, err:?; "cannot fetch a piece from the origin");
-                None
-            }
-        }
+async fn pull_digests(peer: SocketAddr, plan: &LoadPlan) -> Result<PieceDigests> {
+    let query = PullQuery::Digests(DigestsQuery {
+        model: plan.model.clone(),
+        version: plan.version,
+    });
+    let answer = overlay::pull(peer, query, PULL_TIMEOUT).await?;
+    if !answer.found {
+        bail!("the agent has no digests");
     }
+    let chunks = answer.data.chunks_exact(DIGEST_BYTES);
+    let digests = chunks.filter_map(|chunk| chunk.try_into().ok()).collect();
+    Ok(PieceDigests { digests })
 }
 
-/// Pulls a piece from another agent, range by range. Returns none if that agent does not have the
-/// piece.
-async fn pull_ranges(peer: SocketAddr, plan: &LoadPlan, piece: u32) -> Result<Option<Bytes>> {
-    let mut client = PullClient::connect(peer).await?;
+/// An idle connection to `peer`, or a new one.
+async fn idle_client(peer: SocketAddr, idle_clients: &IdleClients) -> Result<PullClient> {
+    let idle = idle_clients.borrow_mut().remove(&peer);
+    match idle.filter(|(_, used_at)| used_at.elapsed() < IDLE_TIMEOUT) {
+        Some((client, _)) => Ok(client),
+        None => PullClient::connect(peer).await,
+    }
+}
+
+/// Pulls a piece from another agent, range by range. Returns it with the connection.
+async fn pull_ranges(
+    mut client: PullClient,
+    plan: &LoadPlan,
+    piece: u32,
+) -> Result<(Bytes, PullClient)> {
     let mut data = BytesMut::new();
     loop {
         let query = PieceQuery {
@@ -426,132 +470,14 @@
         };
         let answer = client.ask(PullQuery::Piece(query)).await?;
         if !answer.found {
-            return Ok(None);
+            bail!("the agent does not have the piece");
         }
         data.extend_from_slice(&answer.data);
         if data.len() >= answer.size as usize {
-            return Ok(Some(data.freeze()));
+            return Ok((data.freeze(), client));
         }
         if answer.data.is_empty() {
             bail!("empty range of a piece");
         }
     }
 }
-
-/// The bytes of `piece` that `query` asks for.
-fn requested_range(piece: &Bytes, query: &PieceQuery) -> Bytes {
-    let start = (query.offset as usize).min(piece.len());
-    let rest = piece.slice(start..);
-    match query.length as usize {
-        0 => rest,
-        length => rest.slice(..length.min(rest.len())),
-    }
-}
-
-/// Serves pieces and digests to other agents.
-#[derive(Clone)]
-pub struct PieceServer {
-    cache: PieceCache,
-    view: SharedView,
-    /// Permits for answers with data, of which [`PARALLEL_UPLOADS`] are sent at a time.
-    uploads: Rc<Semaphore>,
-    /// Rate limit of all uploads together.
-    link: Rc<RefCell<LinkBudget>>,
-}
-
-impl PieceServer {
-    /// A server of the pieces in `cache`, over a link of `link_bytes_per_second`; 0 for a link
-    /// without a limit.
-    #[must_use]
-    pub fn new(cache: PieceCache, view: SharedView, link_bytes_per_second: u64) -> Self {
-        let rate = link_bytes_per_second * UPLOAD_LINK_PERCENT / 100;
-        let link = LinkBudget::new(rate, UPLOAD_CHUNK_BYTES as u64, Instant::now());
-        Self {
-            cache,
-            view,
-            uploads: Rc::new(Semaphore::new(PARALLEL_UPLOADS)),
-            link: Rc::new(RefCell::new(link)),
-        }
-    }
-
-    /// Records the version of a requested piece as announced: an agent that receives no rosters
-    /// from entries learns of new versions from the agents that request their pieces from it.
-    fn record_announcement(&self, query: &PieceQuery) {
-        let mut view = self.view.borrow_mut();
-        let now = Instant::now();
-        view.record_announcement(&query.model, query.version, Duration::ZERO, now);
-    }
-
-    /// Waits until the rate limit of uploads permits to send `bytes` more bytes.
-    async fn await_budget(&self, bytes: usize) {
-        loop {
-            let taken = self
-                .link
-                .borrow_mut()
-                .try_take(bytes as u64, Instant::now());
-            match taken {
-                Ok(()) => return,
-                Err(wait) => sleep(wait).await,
-            }
-        }
-    }
-
-    /// Answers the queries of a connection until the other agent closes it, or until one asks for
-    /// data that this agent does not have.
-    ///
-    /// # Errors
-    /// The connection fails, a write times out, or a request is malformed.
-    pub async fn serve(self, stream: TcpStream) -> Result<()> {
-        let buffer = overlay::PULL_BUFFER_BYTES as usize;
-        SockRef::from(&stream).set_send_buffer_size(buffer)?;
-        stream.set_nodelay(true)?;
-        let mut connection = overlay::pull_connection(stream);
-        let mut upload = None;
-        while let Some(query) = overlay::next_query(&mut connection, PULL_TIMEOUT).await? {
-            let Some(answer) = self.find(query).await else {
-                return overlay::write_answer(&mut connection, &PullAnswer::default()).await;
-            };
-            if upload.is_none() {
-                upload = Some(self.uploads.acquire().await?);
-            }
-            let frame = overlay::encode_frame(&answer)?;
-            let stream = connection.get_mut();
-            for chunk in frame.chunks(UPLOAD_CHUNK_BYTES) {
-                self.await_budget(chunk.len()).await;
-                timeout(PULL_TIMEOUT, stream.write_all(chunk)).await??;
-            }
-        }
-        Ok(())
-    }
-
-    /// The answer to a query; none if this agent does not have the data. Agents have no rows of the
-    /// store.
-    async fn find(&self, query: PullQuery) -> Option<PullAnswer> {
-        let (data, size) = match query {
-            PullQuery::Piece(query) => {
-                self.record_announcement(&query);
-                self.cache.record_wanted(query.version, query.piece);
-                let piece = self
-                    .cache
-                    .wait_for_piece(query.version, query.piece, MISSING_PIECE_WAIT)
-                    .await?;
-                let size = u32::try_from(piece.len()).ok()?;
-                (requested_range(&piece, &query), size)
-            }
-            PullQuery::Digests(query) => {
-                let digests = self
-                    .cache
-                    .wait_for_digests(query.version, DIGESTS_TIMEOUT / 2)
-                    .await?;
-                (Bytes::from(digests.digests.concat()), 0)
-            }
-            PullQuery::Rows(_) => return None,
-        };
-        Some(PullAnswer {
-            found: true,
-            data,
-            size,
-            ..PullAnswer::default()
-        })
-    }
-}
--- a/crates/agatepin/src/relay/daemon.rs
+++ b/crates/agatepin/src/relay/daemon.rs
@@ -283,7 +283,7 @@
     let copy = match overlay::read_query(&mut connection).await? {
         PullQuery::Rows(query) => MirrorTable::from_number(query.table)
             .and_then(|table| mirror.newer_rows(table, query.after)),
-        PullQuery::Piece(_) | PullQuery::Digests(_) => None,
+        PullQuery::Piece(_) | PullQuery::Digests(_) | PullQuery::Ready(_) => None,
     };
     let answer = copy.map(PullAnswer::from).unwrap_or_default();
     overlay::write_answer(&mut connection, &answer).await
--- a/crates/agatepin/src/relay/overlay.rs
+++ b/crates/agatepin/src/relay/overlay.rs
@@ -30,7 +30,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct PullRequest {
     /// Requested data; absent only in malformed messages.
-    #[prost(oneof = "PullQuery", tags = "1, 2, 3")]
+    #[prost(oneof = "PullQuery", tags = "1, 2, 3, 4")]
     pub query: Option<PullQuery>,
 }
 
@@ -46,6 +46,9 @@
     /// Digests of all pieces of a version, from an agent.
     #[prost(message, tag = "3")]
     Digests(DigestsQuery),
+    /// Which of some pieces an agent has.
+    #[prost(message, tag = "4")]
+    Ready(ReadyQuery),
 }
 
 /// Query for the rows of a table that are newer than a version.
@@ -90,6 +93,21 @@
     pub version: u64,
 }
 
+/// Query for the numbers of those pieces that an agent has, answered as soon as it has one of them.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct ReadyQuery {
+    /// Model of the weights.
+    #[prost(string, tag = "1")]
+    pub model: String,
+    /// Version of the weights.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    /// Numbers of the pieces that the sender of the query misses; the number after the last piece
+    /// stands for the digests of all pieces.
+    #[prost(uint32, repeated, tag = "3")]
+    pub pieces: Vec<u32>,
+}
+
 /// Answer to a pull.
 #[derive(Clone, PartialEq, Message)]
 pub struct PullAnswer {
@@ -119,6 +137,9 @@
     /// Size of the whole piece, in bytes; 0 in answers without a piece.
     #[prost(uint32, tag = "8")]
     pub size: u32,
+    /// Numbers of the requested pieces that the agent has, in answers to [`ReadyQuery`].
+    #[prost(uint32, repeated, tag = "9")]
+    pub ready: Vec<u32>,
 }
 
 /// Row of a table in an answer.
@@ -156,6 +177,7 @@
             changes_only: copy.changes_only,
             may_have_lapsed: copy.may_have_lapsed,
             size: 0,
+            ready: Vec::new(),
         }
     }
 }
--- a/crates/core/tests/relay/sources.rs
+++ b/crates/core/tests/relay/sources.rs
@@ -5,7 +5,7 @@
 
 use rstest::rstest;
 
-use agatepin_core::relay::sources::{PieceAgent, PieceRole, PieceSource, SourcePlanner};
+use agatepin_core::relay::sources::{PieceAgent, PieceRole, SourceLimits, SourcePlanner};
 
 /// Number of pieces of a version.
 const PIECES: u32 = 48;
