--- a/crates/agatepin/src/loader/cache.rs
+++ b/crates/agatepin/src/loader/cache.rs
@@ -166,9 +166,8 @@
         wanted: &[u32],
         wait: Duration,
     ) -> Option<Vec<u32>> {
-        let find = |pieces: &VersionPieces| {
-            Some(pieces.ready(wanted)).filter(|ready| !ready.is_empty())
-        };
+        let find =
+            |pieces: &VersionPieces| Some(pieces.ready(wanted)).filter(|ready| !ready.is_empty());
         self.wait_for(version, wait, find).await
     }
 
--- a/crates/agatepin/src/loader/daemon.rs
+++ b/crates/agatepin/src/loader/daemon.rs
@@ -130,6 +130,7 @@
         },
         first_start: options.first_start,
         origin_fetchers: options.origin_fetchers,
+        in_flight: Rc::default(),
     };
     actix_rt::spawn(fetcher.clone().run(options.service.clone()));
     let swapper = WeightSwapper {
--- a/crates/agatepin/src/loader/pieces.rs
+++ b/crates/agatepin/src/loader/pieces.rs
@@ -2,7 +2,7 @@
 //! weights from), from other agents, and from the origin (the server of all announced weights) if it
 //! is this agent's turn there.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -29,8 +29,10 @@
 /// Maximum number of pieces that a fetch requests at a time. More would not fill the link better,
 /// but each would take longer, and other agents wait for it.
 const PARALLEL_PIECES: usize = 4;
+/// The same for all fetches of an agent together.
+const PARALLEL_PIECES_IN_ALL: usize = 6;
 /// Bytes of a piece that are requested at once. Callers' requests to the engine arrive over the same
-/// link and queue behind the ranges in flight, of which there are [`PARALLEL_PIECES`] at most.
+/// link and queue behind the ranges in flight, of which there are [`PARALLEL_PIECES_IN_ALL`] at most.
 const RANGE_BYTES: u32 = 4 * 1024;
 /// Timeout of the pull of a piece, including the wait at its source and the transfer over a busy
 /// link.
@@ -65,6 +67,22 @@
     Corrupt,
 }
 
+/// Counts a request for a piece as in flight until it is dropped.
+struct FetchSlot(Rc<Cell<usize>>);
+
+impl FetchSlot {
+    fn take(in_flight: &Rc<Cell<usize>>) -> Self {
+        in_flight.set(in_flight.get() + 1);
+        Self(in_flight.clone())
+    }
+}
+
+impl Drop for FetchSlot {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// Open connections to other agents that no pull uses, with the time of their last use.
 type IdleClients = RefCell<BTreeMap<SocketAddr, (PullClient, Instant)>>;
 
@@ -88,6 +106,8 @@
     pub first_start: bool,
     /// Maximum number of agents of the fleet that request pieces from the origin.
     pub origin_fetchers: usize,
+    /// Number of pieces that are being requested, by all fetches of this agent.
+    pub in_flight: Rc<Cell<usize>>,
 }
 
 impl<Engine> PieceFetcher<Engine>
@@ -95,34 +115,51 @@
     Engine: EnginePort,
 {
     /// Fetches each announced version of the model of `service`, until the task is dropped.
+    ///
+    /// If a newer version is announced while one is fetched, the older fetch is completed if half of
+    /// its pieces are cached: that version is ready sooner, and must serve until the newer one does.
     pub async fn run(self, service: ServiceId) {
+        let mut fetches = FuturesUnordered::new();
+        let mut newest = 0;
         loop {
             let plan = self.view.borrow().plan(&service);
-            let Some(plan) = plan.filter(|plan| !self.cache.is_complete(plan.version)) else {
-                sleep(POLL_INTERVAL).await;
-                continue;
-            };
-            if self.monitor.state().is_none() && (self.first_start || !self.is_held_by_peer(&plan))
-            {
-                // Wait for the engine: it may have the version staged already.
-                sleep(POLL_INTERVAL).await;
-                continue;
+            let plan = plan.filter(|plan| plan.version > newest && self.may_fetch(plan));
+            if let Some(plan) = plan.filter(|plan| !self.cache.is_complete(plan.version)) {
+                newest = plan.version;
+                fetches.push(self.fetch_unless_superseded(service.clone(), plan));
             }
-            let newer = async {
-                while !self.is_outdated(&service, &plan) || self.is_half_fetched(&plan) {
-                    sleep(POLL_INTERVAL).await;
-                }
-            };
             tokio::select! {
-                () = self.fetch(&plan) => {}
-                // A newer version was announced before half of the pieces were cached.
-                () = newer => log::info!(version = plan.version; "fetch superseded"),
+                Some(version) = fetches.next(), if !fetches.is_empty() => {
+                    self.cache.evict_old_versions();
+                    if version == newest && !self.cache.is_complete(version) {
+                        sleep(RETRY_PAUSE).await;
+                        newest = 0;
+                    }
+                }
+                () = sleep(POLL_INTERVAL) => {}
             }
-            self.cache.evict_old_versions();
-            if !self.cache.is_complete(plan.version) {
-                sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    /// Whether a fetch can begin. While the engine does not respond, it may have the version staged
+    /// already, so nothing is fetched unless another agent has it.
+    fn may_fetch(&self, plan: &LoadPlan) -> bool {
+        self.monitor.state().is_some() || (!self.first_start && self.is_held_by_peer(plan))
+    }
+
+    /// Fetches a version, unless a newer one is announced before half of its pieces are cached.
+    /// Returns the version.
+    async fn fetch_unless_superseded(&self, service: ServiceId, plan: LoadPlan) -> u64 {
+        let newer = async {
+            while !self.is_outdated(&service, &plan) || self.is_half_fetched(&plan) {
+                sleep(POLL_INTERVAL).await;
             }
+        };
+        tokio::select! {
+            () = self.fetch(&plan) => {}
+            () = newer => log::info!(version = plan.version; "fetch superseded"),
         }
+        plan.version
     }
 
     /// Whether a newer version was announced.
@@ -132,8 +169,7 @@
             .is_some_and(|now| now.version > plan.version)
     }
 
-    /// Whether half of the pieces are cached. Then the fetch is completed even if a newer version
-    /// was announced: this version is ready sooner, and must serve until the newer one does.
+    /// Whether half of the pieces are cached.
     fn is_half_fetched(&self, plan: &LoadPlan) -> bool {
         let cached = self.cache.with(plan.version, |pieces| pieces.pieces.len());
         2 * cached >= plan.engine.pieces as usize
@@ -150,9 +186,8 @@
     async fn fetch(&self, plan: &LoadPlan) {
         let started = Instant::now();
         let digests_item = plan.engine.pieces;
-        let has_digests = |cache: &PieceCache| {
-            cache.with(plan.version, |pieces| pieces.digests.is_some())
-        };
+        let has_digests =
+            |cache: &PieceCache| cache.with(plan.version, |pieces| pieces.digests.is_some());
         if !has_digests(&self.cache) {
             self.fetch_items(plan, vec![digests_item]).await;
         }
@@ -207,8 +242,11 @@
             }
             watches.set_wanted(fetch.watches(now));
             let wanted = self.cache.wanted(plan.version);
-            while let Some((item, source)) = fetch.next(&wanted, now) {
-                running.push(self.request(plan, item, source, &idle_clients));
+            while self.in_flight.get() < PARALLEL_PIECES_IN_ALL
+                && let Some((item, source)) = fetch.next(&wanted, now)
+            {
+                let slot = FetchSlot::take(&self.in_flight);
+                running.push(self.request(plan, item, source, &idle_clients, slot));
             }
             if staging.is_empty() && !stage_queue.borrow().is_empty() {
                 staging.push(self.prestage(plan, &stage_queue));
@@ -328,7 +366,9 @@
         item: u32,
         source: PieceSource,
         idle_clients: &IdleClients,
+        slot: FetchSlot,
     ) -> (u32, PieceSource, FetchOutcome) {
+        let _slot = slot;
         let outcome = match item == plan.engine.pieces {
             true => self.request_digests(plan, source).await,
             false => self.request_piece(plan, item, source, idle_clients).await,
--- a/crates/agatepin/src/loader/swap.rs
+++ b/crates/agatepin/src/loader/swap.rs
@@ -104,9 +104,9 @@
         let guard = self.fetcher.writer.lock().await;
         self.stage(plan, &guard).await?;
         self.swapping.set(true);
-        self.await_drain().await;
-        // Staged pieces may have become corrupt during the drain.
-        self.stage(plan, &guard).await?;
+        // Staged pieces may have become corrupt since they were staged.
+        let ((), staged) = tokio::join!(self.await_drain(), self.stage(plan, &guard));
+        staged?;
         let state = self
             .monitor
             .state()
--- a/crates/agatepin/src/loader/uploads.rs
+++ b/crates/agatepin/src/loader/uploads.rs
@@ -123,7 +123,12 @@
         permit: &mut Option<SemaphorePermit<'_>>,
     ) -> Result<Option<PullQuery>> {
         if permit.is_some() {
-            match timeout(RANGE_TIMEOUT, overlay::next_query(connection, QUERY_TIMEOUT)).await {
+            match timeout(
+                RANGE_TIMEOUT,
+                overlay::next_query(connection, QUERY_TIMEOUT),
+            )
+            .await
+            {
                 Ok(query) => return query,
                 Err(_) => *permit = None,
             }
--- a/crates/agatepin/src/loader/watch.rs
+++ b/crates/agatepin/src/loader/watch.rs
@@ -73,12 +73,7 @@
                 continue;
             }
             let wanted = Rc::new(RefCell::new(pieces));
-            let task = watch(
-                peer,
-                self.plan.clone(),
-                wanted.clone(),
-                self.sender.clone(),
-            );
+            let task = watch(peer, self.plan.clone(), wanted.clone(), self.sender.clone());
             let task = actix_rt::spawn(task);
             self.watches.insert(peer, PeerWatch { wanted, task });
         }
--- a/crates/core/src/relay/piece_fetch.rs
+++ b/crates/core/src/relay/piece_fetch.rs
@@ -19,6 +19,8 @@
 const WATCHED_SOURCES: usize = 2;
 /// Time after which only a few pieces should be missing.
 const NORMAL_FETCH_TIME: Duration = Duration::from_millis(2_500);
+/// Time after which other sources are asked for the missing pieces even if pieces still arrive.
+const LONG_FETCH_TIME: Duration = Duration::from_millis(4_500);
 /// Time without progress after which the next fetcher in turn asks the origin.
 const ORIGIN_TAKEOVER: Duration = Duration::from_millis(1_500);
 /// The same once this agent has taken over a piece: others of that fetcher are missing too.
@@ -112,7 +114,7 @@
 
 impl PieceFetch {
     /// A fetch of the pieces `missing`, at most `parallel` at a time. `seed` differs between agents:
-    /// it decides the order of pieces and the random parts of pauses.
+    /// it decides the random parts of pauses.
     #[must_use]
     pub fn new(
         planner: SourcePlanner,
@@ -121,9 +123,10 @@
         seed: u64,
         now: Instant,
     ) -> Self {
-        // Each agent requests the pieces in an order of its own, so that agents do not all request
-        // the same piece from the same source at once.
-        missing.sort_by_cached_key(|piece| rank::score_seeds(seed, u64::from(*piece)));
+        // All agents request the pieces in the same order: an agent then has the next piece of its
+        // children in the distribution trees about when they are ready for it. The sources of two
+        // pieces differ, so that this does not crowd one agent.
+        missing.sort_unstable();
         let mut origin = OriginPacer {
             pause: Duration::ZERO,
             next_at: now,
@@ -185,7 +188,7 @@
     /// [`Self::record_lost`].
     #[must_use]
     pub fn watches(&self, now: Instant) -> BTreeMap<SocketAddr, BTreeSet<u32>> {
-        let quiet = now.saturating_duration_since(self.progress_at);
+        let quiet = self.quiet(now);
         let age = now.saturating_duration_since(self.started);
         let mut found: BTreeMap<SocketAddr, BTreeSet<u32>> = BTreeMap::new();
         for missing in &self.missing {
@@ -229,25 +232,24 @@
     }
 
     /// The piece to request now, and its source; none while nothing can be requested. Pieces that
-    /// others depend on come first: those that another agent waits for (`wanted`), then those that
+    /// others depend on come first: those that another agent waits for (`wanted`), and those that
     /// this agent fetches from the origin or imports into its region.
     pub fn next(&mut self, wanted: &BTreeSet<u32>, now: Instant) -> Option<(u32, PieceSource)> {
         if self.running.len() >= self.parallel {
             return None;
         }
-        let mut best: Option<((bool, PieceRole, usize), u32, PieceSource)> = None;
-        for (index, missing) in self.missing.iter().enumerate() {
-            let piece = missing.piece;
-            let key = (!wanted.contains(&piece), missing.role, index);
-            let is_behind = best.as_ref().is_some_and(|(best_key, ..)| *best_key < key);
-            if is_behind || self.running.contains_key(&piece) {
-                continue;
-            }
-            if let Some(source) = self.source(missing, now) {
-                best = Some((key, piece, source));
-            }
-        }
-        let (_, piece, source) = best?;
+        let is_needed = |missing: &&MissingPiece| {
+            missing.role != PieceRole::Receive || wanted.contains(&missing.piece)
+        };
+        let needed = self.missing.iter().filter(is_needed);
+        let others = self.missing.iter().filter(|missing| !is_needed(missing));
+        let mut idle = needed
+            .chain(others)
+            .filter(|missing| !self.running.contains_key(&missing.piece));
+        let (piece, source) = idle.find_map(|missing| {
+            let source = self.source(missing, now)?;
+            Some((missing.piece, source))
+        })?;
         self.running.insert(piece, source);
         Some((piece, source))
     }
@@ -318,7 +320,13 @@
             ORIGIN_TAKEOVER
         };
         let turn = u32::try_from(turn).unwrap_or(u32::MAX);
-        turn == 0 || now >= self.progress_at + takeover * turn
+        turn == 0 || self.quiet(now) >= takeover * turn
+    }
+
+    /// Time without progress. In a fetch that takes long, progress does not count any more.
+    fn quiet(&self, now: Instant) -> Duration {
+        let since = self.progress_at.min(self.started + LONG_FETCH_TIME);
+        now.saturating_duration_since(since)
     }
 
     fn is_lost(&self, agent: &SocketAddr, now: Instant) -> bool {
--- a/crates/core/src/relay/sources.rs
+++ b/crates/core/src/relay/sources.rs
@@ -58,7 +58,7 @@
 
 /// Maximum number of agents to which one agent uploads a piece, its children in the piece's
 /// distribution tree. A higher number would make the tree flatter, but the upload queues longer.
-const TREE_FANOUT: usize = 4;
+const TREE_FANOUT: usize = 3;
 /// Maximum number of agents of the same region holding the complete version that are tried before
 /// any other source.
 const MAX_LOCAL_HOLDERS: usize = 2;
@@ -305,11 +305,13 @@
     }
 
     /// The distribution tree of each piece, and of the digests, in this agent's region. Each tree
-    /// has those agents at its root and inner ranks that upload the least in the trees before it.
+    /// has those agents at its inner ranks that upload the least in the trees before it, and at its
+    /// root the one that imports the least, or the one that fetches the piece from the origin.
     fn trees(&self) -> Vec<Vec<usize>> {
         let region = &self.regions[self.region];
         let count = region.agents.len();
         let mut uploads = vec![0; count];
+        let mut imports = vec![0; count];
         let items = 0..=self.digests_item as usize;
         let tree = |piece: usize| {
             let is_origin_region = self.origin_region(piece) == self.region;
@@ -317,11 +319,16 @@
             let by_load = |agent: &usize| (uploads[*agent], (agent + piece) % count);
             let mut order: Vec<usize> = (0..count).collect();
             order.sort_by_key(by_load);
-            let root = order
-                .iter()
-                .position(|agent| is_origin_region && region.agents[*agent] == fetcher);
+            let root = if is_origin_region {
+                order
+                    .iter()
+                    .position(|agent| region.agents[*agent] == fetcher)
+            } else {
+                (0..count).min_by_key(|at| (imports[order[*at]], *at))
+            };
             let root = order.remove(root.unwrap_or(0));
             order.insert(0, root);
+            imports[root] += 1;
             if is_origin_region {
                 uploads[root] += self.regions.len() - 1;
             }
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -12,7 +12,7 @@
     pub mod readers;
     pub mod schedule;
     pub mod setups;
-    //pub mod sources;
+    pub mod sources;
     pub mod subset;
     pub mod upstreams;
 }
