One odd row of another writer costs itself only

Before, 4,294,967,295 slots overflowed the choice of an upstream: a panic with overflow checks, a capacity of one without; the largest version overflowed the schedule of weights.

--- a/crates/core/src/relay/chooser.rs
+++ b/crates/core/src/relay/chooser.rs
@@ -102,7 +102,7 @@
             && !cold.allows(id, criteria.cold_requests_per_second, location.entries, now);
         let delay = match criteria.engine {
             Some(engine) => first_event_delay(state, engine, criteria.tokens, now),
-            None => PLAIN_REQUEST_DELAY * state.load(now),
+            None => PLAIN_REQUEST_DELAY.saturating_mul(state.load(now)),
         };
         let is_late = criteria.engine.is_some() && delay > criteria.first_event_limit;
         let at_capacity =
@@ -141,7 +141,7 @@
     let prefill = |tokens: u32| {
         let passes = tokens.div_ceil(timing.prefill_tokens_per_pass).max(1);
         let time = f64::from(tokens) / f64::from(timing.prefill_tokens_per_second);
-        decode * passes + Duration::from_secs_f64(time)
+        decode.saturating_mul(passes) + Duration::from_secs_f64(time)
     };
     let current_pass = if load == 0 {
         Duration::ZERO
@@ -149,12 +149,12 @@
         decode / 2
     };
     let slots = state.listing.slots.max(1);
-    let queued = (load + 1).saturating_sub(slots);
-    let unread = state.unread(now) + tokens;
+    let queued = load.saturating_add(1).saturating_sub(slots);
+    let unread = state.unread(now).saturating_add(tokens);
     let pass = prefill(unread.min(timing.prefill_tokens_per_pass));
     let answer_time = pass * TYPICAL_ANSWER_TOKENS.div_ceil(timing.decode_steps_per_pass);
-    let slot_wait = answer_time * queued / slots;
-    current_pass + slot_wait + prefill(unread)
+    let slot_wait = answer_time.saturating_mul(queued) / slots;
+    (current_pass + prefill(unread)).saturating_add(slot_wait)
 }
 
 /// Whether an upstream may serve the request, whatever its load and whether it holds off requests.
@@ -207,12 +207,14 @@
         (true, false) => 0,
         (false, _) => PLAIN_QUEUE_LIMIT,
     };
-    let limit = state.hold().limit(state.listing.slots + queue_limit, now);
+    let limit = state.listing.slots.saturating_add(queue_limit);
+    let limit = state.hold().limit(limit, now);
     if state.report(now).is_some() {
         return limit;
     }
     let entries = u32::try_from(location.entries.max(1)).unwrap_or(u32::MAX);
-    (limit * if engine { 1 } else { 2 })
+    limit
+        .saturating_mul(if engine { 1 } else { 2 })
         .div_ceil(entries)
         .max(1)
 }
--- a/crates/core/src/relay/schedule.rs
+++ b/crates/core/src/relay/schedule.rs
@@ -56,7 +56,8 @@
     /// no newer version is announced.
     #[must_use]
     pub fn deadline_of(&self, held: WeightsVersion) -> Option<Instant> {
-        let newer = self.announcements.range(held + 1..);
+        let newer = self.announcements.range(held.saturating_add(1)..);
+        let newer = newer.filter(|(version, _)| **version > held);
         newer
             .map(|(_, announced_at)| *announced_at + DEADLINE_DELAY)
             .min()
--- a/crates/core/src/relay/upstreams.rs
+++ b/crates/core/src/relay/upstreams.rs
@@ -154,7 +154,8 @@
         match self.report(now) {
             Some(report) => {
                 let sent = self.sent_since_report + self.sent_before_report;
-                let reported = report.active + report.queued + sent;
+                let reported = report.active.saturating_add(report.queued);
+                let reported = reported.saturating_add(sent);
                 reported.max(from_entries)
             }
             None => from_entries,
--- a/crates/core/tests/relay/chooser.rs
+++ b/crates/core/tests/relay/chooser.rs
@@ -8,7 +8,9 @@
     EntryLocation, UpstreamChoice, UpstreamCriteria, choose_upstream, first_event_delay,
 };
 use agatepin_core::relay::rate_share::ColdRateShare;
-use agatepin_core::relay::upstreams::{EntryLoad, UpstreamDirectory, UpstreamListing};
+use agatepin_core::relay::upstreams::{
+    EngineReport, EntryLoad, UpstreamDirectory, UpstreamListing,
+};
 
 use super::setups::{engine, listing};
 
@@ -218,3 +220,31 @@
     let held_off = UpstreamChoice::HeldOff(Duration::from_secs(2));
     assert_eq!(chosen(&upstreams, &criteria(None), now), held_off);
 }
+
+/// Numbers as a faulty worker may state them, in its row and in its report.
+#[test]
+fn the_largest_numbers_do_not_overflow() {
+    let now = Instant::now();
+    let spec = engine();
+    let mut odd = listing("desk", 1, "thies");
+    odd.slots = u32::MAX;
+    let mut upstreams = upstreams(&[("odd", odd.clone())], now);
+    let report = EngineReport {
+        up: true,
+        weights: Some(u64::MAX),
+        busy: false,
+        active: u32::MAX,
+        queued: u32::MAX,
+        unread: u32::MAX,
+    };
+    upstreams.report(odd.address, report, now);
+    upstreams.count_request("odd", u32::MAX);
+    assert_eq!(
+        chosen(&upstreams, &criteria(Some(&spec)), now),
+        UpstreamChoice::Full
+    );
+    assert_eq!(
+        chosen(&upstreams, &criteria(None), now),
+        UpstreamChoice::Full
+    );
+}
--- a/crates/core/tests/relay/schedule.rs
+++ b/crates/core/tests/relay/schedule.rs
@@ -49,3 +49,12 @@
     schedule.announce(2, JUST_NOW, now);
     assert_eq!(schedule.required(now), Some(2));
 }
+
+/// The largest version, as a faulty worker may state it.
+#[test]
+fn no_deadline_follows_the_largest_version() {
+    let now = Instant::now();
+    let mut schedule = WeightsSchedule::default();
+    schedule.announce(2, Duration::ZERO, now);
+    assert_eq!(schedule.deadline_of(u64::MAX), None);
+}
