--- a/crates/agatepin/src/relay/http_client.rs
+++ b/crates/agatepin/src/relay/http_client.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -25,6 +25,11 @@
 /// most 1 MB in one answer.
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 
+/// Longest pause within the body of an answer to [`fetch`].
+const BODY_IDLE_TIMEOUT: Duration = Duration::from_millis(900);
+/// Longest time for the body of an answer to [`fetch`].
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Largest head of an answer, in bytes; also the size of the read buffer.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Bytes that may arrive until the head of an answer is complete: interim answers, the head, and what
@@ -196,8 +201,9 @@
 /// complete body.
 ///
 /// # Errors
-/// The connection was not established within `connect_timeout`, the answer was incomplete after
-/// `time_limit`, or the exchange failed.
+/// The connection was not established within `connect_timeout`, the answer did not begin within
+/// `time_limit`, its body paused for [`BODY_IDLE_TIMEOUT`] or was incomplete after [`BODY_TIMEOUT`],
+/// or the exchange failed.
 pub async fn fetch(
     address: SocketAddr,
     mut request: Request<Full<Bytes>>,
@@ -205,21 +211,37 @@
     time_limit: Duration,
 ) -> Result<(StatusCode, Bytes), StoreError> {
     request.headers_mut().insert(HOST, host_header(address)?);
+    let broken = |err: ExchangeError| StoreError::Broken(err.to_string());
     let exchange = async {
-        let broken = |err: ExchangeError| StoreError::Broken(err.to_string());
         let stream = connect(address, connect_timeout).await.map_err(broken)?;
-        let (response, guard) = send_on(stream, request).await.map_err(broken)?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
-        let collected = body.collect().await;
-        drop(guard);
-        let collected = collected.map_err(|err| StoreError::Broken(err.to_string()))?;
-        Ok((status, collected.to_bytes()))
+        send_on(stream, request).await.map_err(broken)
     };
-    match timeout(time_limit, exchange).await {
-        Ok(answer) => answer,
-        Err(_) => Err(StoreError::Broken(format!(
-            "no answer within {time_limit:?}"
-        ))),
+    let late = || StoreError::Broken(format!("no answer within {time_limit:?}"));
+    let (response, guard) = timeout(time_limit, exchange).await.map_err(|_| late())??;
+    let status = response.status();
+    let body = timeout(BODY_TIMEOUT, collect_steady(response.into_body())).await;
+    drop(guard);
+    let late = || StoreError::Broken(format!("answer not complete within {BODY_TIMEOUT:?}"));
+    Ok((status, body.map_err(|_| late())??))
+}
+
+/// Reads a body to its end, of which some part must arrive every [`BODY_IDLE_TIMEOUT`]: a large answer
+/// over a busy link takes long, and a connection that went silent is noticed soon.
+async fn collect_steady(mut body: Incoming) -> Result<Bytes, StoreError> {
+    let mut data = BytesMut::new();
+    loop {
+        let frame = timeout(BODY_IDLE_TIMEOUT, body.frame()).await;
+        let frame = frame.map_err(|_| {
+            StoreError::Broken(format!("no part of the answer for {BODY_IDLE_TIMEOUT:?}"))
+        })?;
+        let Some(frame) = frame else {
+            return Ok(data.freeze());
+        };
+        let frame = frame.map_err(|err| StoreError::Broken(err.to_string()))?;
+        let part = frame.into_data().unwrap_or_default();
+        if data.len() + part.len() > MAX_ANSWER_BYTES {
+            return Err(StoreError::Broken("answer is too large".to_owned()));
+        }
+        data.extend_from_slice(&part);
     }
 }
--- a/crates/agatepin/src/relay/mirror.rs
+++ b/crates/agatepin/src/relay/mirror.rs
@@ -11,7 +11,7 @@
 
 use agatepin_core::ids::{ModelId, RegionId};
 use agatepin_core::relay::catalog::WeightsVersion;
-use agatepin_core::relay::readers::{CopyStatus, NewerRows};
+use agatepin_core::relay::readers::{self, CopyStatus, NewerRows};
 use agatepin_core::relay::upstreams::LAPSE_GRACE;
 use tokio::time::{sleep, timeout};
 
@@ -87,6 +87,8 @@
     store_regained: Rc<RefCell<Option<Instant>>>,
     /// Start of the first failed read of each table since the store's last answer to a read of it.
     lost_since: Rc<RefCell<BTreeMap<MirrorTable, Instant>>>,
+    /// Since when other entries have newer rows of a table than this entry.
+    behind_since: Rc<RefCell<BTreeMap<MirrorTable, Instant>>>,
     /// Time since which the store has answered each read of this entry; none after a failed one.
     answered_since: Rc<Cell<Option<Instant>>>,
 }
@@ -112,6 +114,7 @@
             region: identity.region.clone(),
             store_regained: Rc::default(),
             lost_since: Rc::default(),
+            behind_since: Rc::default(),
             answered_since: Rc::default(),
         }
     }
@@ -181,15 +184,28 @@
             return Ok(StepOutcome::Read { changes });
         }
         let now = Instant::now();
-        let newer_rows = self
-            .fleet
-            .with(|fleet| fleet.table_copies.newer_rows(table, version, now));
-        if let Some(NewerRows::SameRegion(peer)) = newer_rows
-            && self.pull_from(table, peer, version).await
-        {
-            return Ok(StepOutcome::Waited);
+        let behind_since = self.behind_since.borrow().get(&table).copied();
+        let waited = behind_since.map_or(Duration::ZERO, |since| now.duration_since(since));
+        let newer_rows = self.fleet.with(|fleet| {
+            fleet
+                .table_copies
+                .newer_rows(table, version, &self.own_name, waited, now)
+        });
+        if newer_rows.is_none() {
+            self.behind_since.borrow_mut().remove(&table);
+        } else {
+            let mut behind_since = self.behind_since.borrow_mut();
+            behind_since.entry(table).or_insert(now);
+        }
+        if let Some(NewerRows::SameRegion(peer)) = newer_rows {
+            if self.pull_from(table, peer, version).await {
+                self.behind_since.borrow_mut().remove(&table);
+            } else {
+                sleep(FAILURE_PAUSE).await;
+            }
         }
-        if newer_rows.is_some() {
+        if newer_rows.is_some() && waited >= self.other_region_wait(now) {
+            self.behind_since.borrow_mut().remove(&table);
             let changes = self.read_store(table, Duration::ZERO).await?;
             if changes == 0 {
                 // The store's answer may be older than the rows of other entries: pause before the
@@ -198,6 +214,9 @@
             }
             return Ok(StepOutcome::Read { changes });
         }
+        if let Some(NewerRows::SameRegion(_)) = newer_rows {
+            return Ok(StepOutcome::Waited);
+        }
         let peer_rows_changed = self.fleet.with(|fleet| fleet.peer_rows_changed.clone());
         let _ = timeout(PEER_CHECK_INTERVAL, peer_rows_changed.notified()).await;
         Ok(StepOutcome::Waited)
@@ -210,9 +229,20 @@
             let others = fleet
                 .entries
                 .alive_in_region(&self.own_name, &self.region, now);
+            let regions = fleet.entries.regions_alive(&self.region, now);
             fleet
                 .table_copies
-                .may_skip_store(&self.own_name, others, now)
+                .may_skip_store(&self.own_name, others, regions, now)
+        })
+    }
+
+    /// Time that this entry waits before it reads rows from the store that other entries have.
+    fn other_region_wait(&self, now: Instant) -> Duration {
+        self.fleet.with(|fleet| {
+            let entries = &fleet.entries;
+            let alive = entries.alive_in_region(&self.own_name, &self.region, now);
+            let before = alive.filter(|name| **name < self.own_name).count();
+            readers::other_region_wait(before, entries.regions_alive(&self.region, now))
         })
     }
 
@@ -426,22 +456,27 @@
         });
     }
 
-    /// Asks up to two other entries, chosen at random, for newer rows of a table, and takes those
-    /// of the first one that has any.
+    /// Asks two other entries, chosen at random, for newer rows of a table, and takes those of the
+    /// first one that has any. One of the same region is asked first, if there is one.
     async fn pull_from_entries(&self, table: MirrorTable) {
         let now = Instant::now();
         let own = self.own_name.clone();
         let peers: Vec<_> = self.fleet.with(|fleet| {
             let alive = fleet.entries.alive(&own, now);
-            alive.map(|listing| listing.overlay).collect()
+            alive
+                .map(|listing| (listing.region == self.region, listing.overlay))
+                .collect()
         });
         let version = self.copies.borrow_mut().entry(table).or_default().version;
-        if peers.is_empty() {
-            return;
-        }
-        let start = rand::random_range(0..peers.len());
-        for offset in 0..peers.len().min(2) {
-            let peer = peers[(start + offset) % peers.len()];
+        let (near, all): (Vec<_>, Vec<_>) = (
+            peers.iter().filter(|(near, _)| *near).collect(),
+            peers.iter().collect(),
+        );
+        for candidates in [near, all] {
+            if candidates.is_empty() {
+                continue;
+            }
+            let (_, peer) = *candidates[rand::random_range(0..candidates.len())];
             if self.pull_from(table, peer, version).await {
                 return;
             }
--- a/crates/agatepin/src/relay/overlay.rs
+++ b/crates/agatepin/src/relay/overlay.rs
@@ -23,8 +23,10 @@
 /// Size of the socket buffers of a connection for pulls, in bytes: enough to fill a machine's link,
 /// and small enough that other traffic on the link is not queued for long.
 pub const PULL_BUFFER_BYTES: u32 = 16 * 1024;
-/// Timeout of a complete pull of rows, and of the arrival of a query on an accepted connection.
+/// Longest pause in a pull of rows, and timeout of the arrival of a query on an accepted connection.
 const ROWS_TIMEOUT: Duration = Duration::from_millis(800);
+/// Timeout of a complete pull of rows: a large configuration takes long over a busy link.
+const LONG_ROWS_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// Message that asks another daemon for data.
 #[derive(Clone, PartialEq, Message)]
@@ -238,6 +240,29 @@
         })
     }
 
+    /// Sends a query and returns its answer, of which some bytes must arrive every [`ROWS_TIMEOUT`].
+    ///
+    /// # Errors
+    /// The connection broke or went silent, or the answer is malformed.
+    async fn ask_steadily(&mut self, query: PullQuery) -> Result<PullAnswer> {
+        let request = PullRequest { query: Some(query) };
+        let request = Bytes::from(request.encode_to_vec());
+        self.connection.send(request).await?;
+        let mut received = 0;
+        loop {
+            let frame = timeout(ROWS_TIMEOUT, self.connection.next()).await;
+            if let Ok(frame) = frame {
+                let frame = frame.ok_or_else(|| eyre!("connection closed before an answer"))??;
+                return Ok(PullAnswer::decode(frame.freeze())?);
+            }
+            let buffered = self.connection.read_buffer().len();
+            if buffered <= received {
+                return Err(eyre!("no bytes of an answer within {ROWS_TIMEOUT:?}"));
+            }
+            received = buffered;
+        }
+    }
+
     /// Sends a query and returns its answer.
     ///
     /// # Errors
@@ -273,7 +298,14 @@
         table: table.number(),
         after,
     };
-    match pull(peer, PullQuery::Rows(query), ROWS_TIMEOUT).await {
+    let exchange = async {
+        let mut client = PullClient::connect(peer).await?;
+        client.ask_steadily(PullQuery::Rows(query)).await
+    };
+    match timeout(LONG_ROWS_TIMEOUT, exchange)
+        .await
+        .unwrap_or_else(|late| Err(late.into()))
+    {
         Ok(answer) => answer.found.then(|| answer.into()),
         Err(err) => {
             log::debug!(peer:%, err:%; "pull of table rows from another entry failed");
--- a/crates/core/src/relay/liveness.rs
+++ b/crates/core/src/relay/liveness.rs
@@ -1,6 +1,6 @@
 //! Liveness of the other entries, by their last heartbeats.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -127,6 +127,16 @@
         .map(|(name, _)| name)
     }
 
+    /// Number of regions with live entries, including the region `own`.
+    #[must_use]
+    pub fn regions_alive(&self, own: &str, now: Instant) -> usize {
+        let alive = self.entries.values().filter(|state| is_alive(state, now));
+        let mut regions: BTreeSet<&str> =
+            alive.map(|state| state.listing.region.as_str()).collect();
+        regions.insert(own);
+        regions.len()
+    }
+
     /// Addresses of live, ready entries for a caller in `data_centre` of `region`: those in its
     /// data centre if there are any, else those in its region, else all. `own_name` is the name of
     /// the answering entry, and `own` its listing if it accepts callers.
--- a/crates/core/src/relay/readers.rs
+++ b/crates/core/src/relay/readers.rs
@@ -6,15 +6,26 @@
 use std::time::{Duration, Instant};
 
 use crate::ids::InstanceId;
+use crate::rank;
 
-/// Number of entries of a region that poll the store. With two, one may fail or lose its connection
-/// to the store.
-pub const READERS_PER_REGION: usize = 2;
+/// Number of entries of the whole fleet that poll the store, at least, evenly over the regions. The
+/// others learn from heartbeats which rows changed, so that most of these may fail, or lose their
+/// connections to the store.
+const MIN_READERS: usize = 4;
 /// Time without a heartbeat from any reader (an entry that polls the store) after which an entry
 /// reads the store itself. A change must be in force 2 s after the store accepted it; heartbeats
 /// are sent twice a second.
 pub const READER_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// Time that an entry waits for rows which only entries of other regions have, for each entry of its
+/// region that reads the store before it.
+const OTHER_REGION_WAIT: Duration = Duration::from_millis(400);
+/// Longest such wait: changes must be in force within the platform's bound also if all entries before
+/// this one fail to read them.
+const MAX_OTHER_REGION_WAIT: Duration = Duration::from_millis(1_200);
+/// Time after which an entry takes rows from another entry of its region than before.
+const SOURCE_TURN: Duration = Duration::from_millis(500);
+
 value_type! {
     /// Status of an entry's copy of the store's tables.
     #[derive(Default)]
@@ -90,13 +101,21 @@
 
     /// Whether the entry `own` need not read the store: it is not among the first entries of its
     /// region by name, and a reader in any region sent its status recently. `alive` are the names
-    /// of the other live entries of its region.
-    pub fn may_skip_store<'entry, Alive>(&self, own: &str, alive: Alive, now: Instant) -> bool
+    /// of the other live entries of its region, and `regions` is the number of regions with live
+    /// entries.
+    pub fn may_skip_store<'entry, Alive>(
+        &self,
+        own: &str,
+        alive: Alive,
+        regions: usize,
+        now: Instant,
+    ) -> bool
     where
         Alive: Iterator<Item = &'entry InstanceId>,
     {
         let before = alive.filter(|name| name.as_str() < own).count();
-        before >= READERS_PER_REGION && self.recent(now).any(|state| state.copy_status.reads_store)
+        before >= readers_per_region(regions)
+            && self.recent(now).any(|state| state.copy_status.reads_store)
     }
 
     /// Whether the store has answered each read of another entry since `since`. Then it was not down
@@ -112,25 +131,70 @@
     }
 
     /// Where rows of `table` newer than `version` are available; `None` if no entry has any.
+    ///
+    /// The entries of a region, of which `own` is one, take the rows from different entries that have
+    /// them. `waited` is the time for which `own` has known of newer rows; after a while it takes
+    /// them from another entry.
     #[must_use]
-    pub fn newer_rows(&self, table: Table, version: u64, now: Instant) -> Option<NewerRows> {
-        let is_newer = |state: &&ReaderState<Table>| {
+    pub fn newer_rows(
+        &self,
+        table: Table,
+        version: u64,
+        own: &str,
+        waited: Duration,
+        now: Instant,
+    ) -> Option<NewerRows> {
+        let turn = waited.as_millis() / SOURCE_TURN.as_millis();
+        let own = rank::score_seeds(
+            rank::seed(own.as_bytes()),
+            u64::try_from(turn).unwrap_or(u64::MAX),
+        );
+        let mut is_elsewhere = false;
+        let mut best = None;
+        for (name, state) in &self.entries {
             let change = state.copy_status.changes.get(&table);
-            change.is_some_and(|change| *change > version)
-        };
-        let mut found = None;
-        for state in self.recent(now).filter(is_newer) {
-            if state.same_region {
-                return Some(NewerRows::SameRegion(state.overlay));
+            if !is_recent(state, now) || change.is_none_or(|change| *change <= version) {
+                continue;
+            }
+            if !state.same_region {
+                is_elsewhere = true;
+                continue;
             }
-            found = Some(NewerRows::OtherRegion);
+            let score = rank::score_seeds(own, rank::seed(name.as_bytes()));
+            best = best.max(Some((score, state.overlay)));
+        }
+        match best {
+            Some((_, overlay)) => Some(NewerRows::SameRegion(overlay)),
+            None => is_elsewhere.then_some(NewerRows::OtherRegion),
         }
-        found
     }
 
     /// Entries whose status was received less than [`READER_TIMEOUT`] ago.
     fn recent(&self, now: Instant) -> impl Iterator<Item = &ReaderState<Table>> {
         let all = self.entries.values();
-        all.filter(move |state| now.saturating_duration_since(state.updated_at) < READER_TIMEOUT)
+        all.filter(move |state| is_recent(state, now))
     }
 }
+
+fn is_recent<Table: Ord>(state: &ReaderState<Table>, now: Instant) -> bool {
+    now.saturating_duration_since(state.updated_at) < READER_TIMEOUT
+}
+
+/// Time that an entry waits before it reads rows from the store that only entries of other regions
+/// have. `before` is the number of live entries of its region before it by name. Those that poll the
+/// store anyway do not wait. The others mostly get the rows from them: if all read the store at once,
+/// the link between the regions would carry a copy of the rows for each.
+#[must_use]
+pub fn other_region_wait(before: usize, regions: usize) -> Duration {
+    let behind = (before + 1).saturating_sub(readers_per_region(regions));
+    let behind = u32::try_from(behind).unwrap_or(u32::MAX);
+    OTHER_REGION_WAIT
+        .saturating_mul(behind)
+        .min(MAX_OTHER_REGION_WAIT)
+}
+
+/// Number of entries of each region that poll the store, in a fleet of `regions` regions.
+#[must_use]
+pub fn readers_per_region(regions: usize) -> usize {
+    MIN_READERS.div_ceil(regions.max(2))
+}
