Agents of large regions read and report their engine's load less often

Change: the interval grows with the agents of the region so that an entry gets at most about 300 reports a second, up to 400 ms; unchanged up to 24 agents, and during a swap.

--- a/crates/agatepin/src/loader/monitor.rs
+++ b/crates/agatepin/src/loader/monitor.rs
@@ -17,8 +17,8 @@
 use crate::relay::datagram::{Datagram, DatagramBody, EngineLoad};
 use crate::relay::ports::{EnginePort, EngineState};
 
-/// Pause between two polls of the engine's state.
-const POLL_INTERVAL: Duration = Duration::from_millis(80);
+/// Pause between two polls of the engine's state during a swap of weights.
+const SWAP_POLL_INTERVAL: Duration = Duration::from_millis(80);
 /// Longest time between two reports of an unchanged state to the few entries that are sent each
 /// change (see `subset::report_receivers`).
 const REPORT_INTERVAL: Duration = Duration::from_millis(400);
@@ -111,10 +111,18 @@
             if frequent_due || reduced_due {
                 self.send(&load, frequent_due, reduced_due, now);
             }
-            sleep(POLL_INTERVAL).await;
+            sleep(self.poll_interval()).await;
         }
     }
 
+    /// Pause until the next poll of the engine's state.
+    fn poll_interval(&self) -> Duration {
+        if self.swapping.get() {
+            return SWAP_POLL_INTERVAL;
+        }
+        subset::report_interval(self.view.borrow().agents_in_region(&self.region))
+    }
+
     /// The report for the entries from the engine's last state. While the engine counts as down, it
     /// has no weights and no requests.
     fn load(&self) -> EngineLoad {
--- a/crates/agatepin/src/loader/view.rs
+++ b/crates/agatepin/src/loader/view.rs
@@ -139,6 +139,13 @@
             .collect()
     }
 
+    /// Number of known agents in `region`.
+    #[must_use]
+    pub fn agents_in_region(&self, region: &str) -> usize {
+        let agents = self.agents.values();
+        agents.filter(|(agent, _)| agent.region == region).count()
+    }
+
     /// The weights that the engine of `service` is to load; none before the catalog is known and
     /// where it declares no engine for `service`.
     #[must_use]
--- a/crates/core/src/relay/subset.rs
+++ b/crates/core/src/relay/subset.rs
@@ -3,6 +3,7 @@
 
 use std::cmp::Reverse;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use crate::ids::RegionId;
 use crate::rank;
@@ -13,6 +14,14 @@
 /// Maximum number of entries of its region to which an agent reports each change.
 pub const MAX_REPORT_RECEIVERS: usize = 16;
 
+/// Shortest interval between two reports of an agent on its engine's load.
+const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(80);
+/// Longest such interval: half the age up to which entries use a report.
+const MAX_REPORT_INTERVAL: Duration = Duration::from_millis(400);
+/// Number of reports a second that an entry receives from the agents of its region, at most, as long as
+/// that needs no longer interval than [`MAX_REPORT_INTERVAL`].
+const MAX_REPORTS_PER_SECOND: u32 = 300;
+
 /// Entries that send the roster to `agent`: up to [`SENDERS_PER_AGENT`] of its region if there are
 /// any, else as many of other regions. `entries` are the known entries with their regions.
 #[must_use]
@@ -61,3 +70,13 @@
 fn seed(address: SocketAddr) -> u64 {
     rank::seed(address.to_string().as_bytes())
 }
+
+/// Interval at which an agent reads its engine's load and reports a change, in a region with `agents`
+/// agents. It grows with them, so that the work of an entry, which receives the reports of all, does
+/// not.
+#[must_use]
+pub fn report_interval(agents: usize) -> Duration {
+    let agents = u32::try_from(agents).unwrap_or(u32::MAX);
+    let interval = Duration::from_secs(1).saturating_mul(agents) / MAX_REPORTS_PER_SECOND;
+    interval.clamp(MIN_REPORT_INTERVAL, MAX_REPORT_INTERVAL)
+}
--- a/crates/core/tests/relay/subset.rs
+++ b/crates/core/tests/relay/subset.rs
@@ -2,11 +2,13 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use agatepin_core::ids::RegionId;
 use agatepin_core::relay::subset::{
-    MAX_REPORT_RECEIVERS, SENDERS_PER_AGENT, report_receivers, senders,
+    MAX_REPORT_RECEIVERS, SENDERS_PER_AGENT, report_interval, report_receivers, senders,
 };
+use agatepin_core::relay::upstreams::REPORT_TTL;
 
 fn entries(regions: &[RegionId], per_region: u8) -> Vec<(SocketAddr, &RegionId)> {
     let numbered = regions.iter().zip(0u8..);
@@ -99,3 +101,16 @@
         }
     }
 }
+
+/// Each agent of a region reports to each entry of it.
+#[test]
+fn an_entry_gets_a_bounded_number_of_reports_a_second() {
+    for agents in [1, 4, 20, 31, 53, 100] {
+        let reports = 1.0 / report_interval(agents).as_secs_f64();
+        let all = reports * f64::from(u32::try_from(agents).unwrap());
+        assert!(all <= 301.0, "{agents} agents send {all} reports a second");
+    }
+    // Small regions have the load as fresh as before, large ones while it is still used.
+    assert_eq!(report_interval(20), Duration::from_millis(80));
+    assert!(report_interval(10_000) * 2 <= REPORT_TTL);
+}
