--- a/crates/agatepin/src/relay/server.rs
+++ b/crates/agatepin/src/relay/server.rs
@@ -194,6 +194,8 @@
             "usable": state.is_usable(now), "cold": state.is_cold(now),
             "weights": state.weights(now), "load": state.load(now), "unread": state.unread(now),
             "own_in_flight": state.own.in_flight, "lapsed": state.is_lapsed(),
+            "leaving": state.is_leaving(),
+            "held_ms": state.hold().left(now).map(|left| left.as_millis()),
         })
     });
     let weights = fleet.weights.iter().map(|(model, schedule)| {
