Many entries do not send to an upstream that turned cold all at once

Cause: each entry's share of a cold upstream's rate began with one request, and filled up to one while unused.

--- a/crates/agatepin/src/relay/admit.rs
+++ b/crates/agatepin/src/relay/admit.rs
@@ -6,6 +6,8 @@
 use agatepin_core::relay::catalog::RouteSpec;
 use agatepin_core::relay::chooser::{self, EntryLocation, UpstreamChoice, UpstreamCriteria};
 use agatepin_core::relay::client_timeout;
+use agatepin_core::relay::upstreams::UpstreamState;
+
 use tokio::time::timeout;
 
 use crate::relay::fleet::{FleetHandle, FleetState};
@@ -131,14 +133,13 @@
         if fleet.upstreams.take_hold_end(id, now) {
             log::info!(upstream = id; "hold over");
         }
-        let cold = fleet
-            .upstreams
-            .get(id)
-            .is_some_and(|state| state.is_cold(now));
-        if cold && service.cold_requests_per_second > 0 {
-            fleet
-                .cold_rates
-                .take(id, service.cold_requests_per_second, entries, now);
+        let state = fleet.upstreams.get(id);
+        let cold = state.filter(|state| state.is_cold(now));
+        let rate = service.cold_requests_per_second;
+        if let Some(since) = cold.map(UpstreamState::cold_since)
+            && rate > 0
+        {
+            fleet.cold_rates.take(id, rate, entries, since, now);
         }
         fleet.upstreams.count_request(id, criteria.prompt_tokens);
     }
--- a/crates/agatepin/src/relay/fleet.rs
+++ b/crates/agatepin/src/relay/fleet.rs
@@ -100,7 +100,7 @@
             weights: BTreeMap::new(),
             entries: EntryDirectory::default(),
             agents: HashMap::new(),
-            cold_rates: ColdRateShare::default(),
+            cold_rates: ColdRateShare::new(rand::random()),
             client_timeouts: ClientTimeouts::default(),
             refusals: RefusedRequests::default(),
             suspects: SuspectTracker::new(SUSPECT_RETENTION),
--- a/crates/core/src/relay/chooser.rs
+++ b/crates/core/src/relay/chooser.rs
@@ -98,8 +98,8 @@
             continue;
         }
         let is_rate_limited = criteria.cold_requests_per_second > 0 && state.is_cold(now);
-        let rate_exceeded = is_rate_limited
-            && !cold.allows(id, criteria.cold_requests_per_second, location.entries, now);
+        let (rate, since) = (criteria.cold_requests_per_second, state.cold_since());
+        let rate_exceeded = is_rate_limited && !cold.allows(id, rate, location.entries, since, now);
         let delay = match criteria.engine {
             Some(engine) => first_event_delay(state, engine, criteria.tokens, now),
             None => PLAIN_REQUEST_DELAY.saturating_mul(state.load(now)),
--- a/crates/core/src/relay/upstreams.rs
+++ b/crates/core/src/relay/upstreams.rs
@@ -106,6 +106,8 @@
     sent_before_report: u32,
     /// End of the upstream's cold start.
     cold_until: Instant,
+    /// When the upstream was last known to turn cold.
+    cold_since: Instant,
     /// Number of consecutive failures since the last valid answer or ejection.
     failures: u32,
     /// Number of ejections since the last valid answer.
@@ -131,6 +133,7 @@
             sent_since_report: 0,
             sent_before_report: 0,
             cold_until,
+            cold_since: now,
             failures: 0,
             ejections: 0,
             ejected_until: now,
@@ -203,6 +206,19 @@
         now < self.cold_until
     }
 
+    /// When the upstream was last known to turn cold.
+    #[must_use]
+    pub fn cold_since(&self) -> Instant {
+        self.cold_since
+    }
+
+    fn set_cold(&mut self, left: Duration, now: Instant) {
+        if !self.is_cold(now) {
+            self.cold_since = now;
+        }
+        self.cold_until = now + left;
+    }
+
     /// Whether new requests may be sent to the upstream: it is not leaving, ejected, down or
     /// executing a load or unload order, and does not hold off requests.
     #[must_use]
@@ -261,7 +277,7 @@
         }
         state.leaving = leaving;
         if !listing.cold_left.is_zero() {
-            state.cold_until = now + listing.cold_left;
+            state.set_cold(listing.cold_left, now);
         }
         state.lapsed = false;
         state.listing = listing;
@@ -359,7 +375,7 @@
     /// Records that the upstream reported `left` as the remaining time of its cold start.
     pub fn record_cold_start(&mut self, id: &str, left: Duration, now: Instant) {
         if let Some(state) = self.upstreams.get_mut(id) {
-            state.cold_until = now + left;
+            state.set_cold(left, now);
         }
     }
 
--- a/crates/core/tests/relay/chooser.rs
+++ b/crates/core/tests/relay/chooser.rs
@@ -193,14 +193,14 @@
         choose_upstream(&upstreams, rate_share, &LOCATION, &limited, now, || 0.5)
     };
     assert_eq!(choose_at(&rate_share, now), send("u1"));
-    rate_share.take(&"u1".to_owned(), 10, 1, now);
+    rate_share.take(&"u1".to_owned(), 10, 1, now, now);
     assert_eq!(choose_at(&rate_share, now), UpstreamChoice::Full);
     assert_eq!(
         choose_at(&rate_share, now + Duration::from_millis(101)),
         send("u1")
     );
     let warm = now + Duration::from_secs(3);
-    rate_share.take(&"u1".to_owned(), 10, 1, warm);
+    rate_share.take(&"u1".to_owned(), 10, 1, now, warm);
     assert_eq!(choose_at(&rate_share, warm), send("u1"));
 }
 
