--- a/crates/agatepin/src/relay/mirror.rs
+++ b/crates/agatepin/src/relay/mirror.rs
@@ -183,6 +183,17 @@
             }
             return Ok(StepOutcome::Read { changes });
         }
+        self.take_newer_rows(table, version).await
+    }
+
+    /// Takes the rows that are newer than `version` from an entry of the same region that has them.
+    /// Reads the store if only entries of other regions do, or none of the same region has answered,
+    /// once it is this entry's turn. Waits for other entries to have newer rows if none has any.
+    async fn take_newer_rows(
+        &self,
+        table: MirrorTable,
+        version: RowVersion,
+    ) -> Result<StepOutcome, StoreError> {
         let now = Instant::now();
         let behind_since = self.behind_since.borrow().get(&table).copied();
         let waited = behind_since.map_or(Duration::ZERO, |since| now.duration_since(since));
@@ -200,9 +211,9 @@
         if let Some(NewerRows::SameRegion(peer)) = newer_rows {
             if self.pull_from(table, peer, version).await {
                 self.behind_since.borrow_mut().remove(&table);
-            } else {
-                sleep(FAILURE_PAUSE).await;
+                return Ok(StepOutcome::Waited);
             }
+            sleep(FAILURE_PAUSE).await;
         }
         if newer_rows.is_some() && waited >= self.other_region_wait(now) {
             self.behind_since.borrow_mut().remove(&table);
