Entry: a refusal that precedes the body reaches its caller

Callers whose request was refused before its body had arrived (no route, unknown key, no configuration, head or body over the limit) could not send the rest: the connection was reset under them. A caller that gives up at the failed write had neither an answer nor a refusal. The refusal did not say that the connection closes, so that the next request on a kept connection was lost as well. A configuration that removes a route, withdraws a key or lowers a limit makes these refusals frequent.

Cause: the body was dropped with the refusal. Hyper then stops reading and closes the socket; the kernel answers input that is unread or still arrives with a reset.

Change: the body of a request that is not read to its end goes to the connection's discarder, which reads it on, within limits of size and time, so that the connection stays in use. Where that is not possible (limit exceeded, a caller that awaits 100 Continue, a head that cannot be parsed), the connection says so if it still can, ends its answer, and reads for up to a second before it is closed. Every handler of the server has this, by the type of the request's body.

--- a/crates/agatepin/src/relay/call.rs
+++ b/crates/agatepin/src/relay/call.rs
@@ -9,7 +9,6 @@
 use agatepin_core::poison::{SuspectAdmission, SuspectKey};
 use agatepin_core::relay::catalog::{LookupError, RouteSpec};
 use agatepin_core::relay::upstreams::SendOutcome;
-use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 use hyper::http::HeaderMap;
 use hyper::{Request, Response};
@@ -21,6 +20,7 @@
 use crate::relay::answer_buffer::AnswerBuffers;
 use crate::relay::attempt::{AttemptFailure, ForwardedRequest, OpenAnswer, SlotGuard, send_once};
 use crate::relay::body::{BODY_QUEUE_PARTS, ReplyBody};
+use crate::relay::caller_body::CallerBody;
 use crate::relay::fleet::FleetHandle;
 use crate::relay::message::{
     forwarded_request_headers, forwarded_response_headers, head_bytes, read_body, request_digest,
@@ -127,7 +127,7 @@
     }
 
     /// Relays a request and returns the answer for its caller, or a refusal.
-    pub async fn answer(self, request: Request<Incoming>) -> Response<ReplyBody> {
+    pub async fn answer(self, request: Request<CallerBody>) -> Response<ReplyBody> {
         let started = Instant::now();
         let (parts, body) = request.into_parts();
         let head = self.dialect.read_request(&parts);
--- a/crates/agatepin/src/relay/message.rs
+++ b/crates/agatepin/src/relay/message.rs
@@ -9,12 +9,13 @@
 use agatepin_core::relay::catalog::RouteCatalog;
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use hyper::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, TRANSFER_ENCODING};
 use hyper::http::HeaderMap;
 use hyper::http::request::Parts;
 use tokio::time::timeout;
 
+use crate::relay::caller_body::CallerBody;
 use crate::relay::refusal::RefusalReason;
 
 /// Hop-by-hop headers (RFC 9110, section 7.6.1): they apply to one connection and are not
@@ -70,7 +71,7 @@
 /// [`RefusalReason::Malformed`] if it breaks off, [`RefusalReason::Slow`] if it takes longer than
 /// `wait_limit`.
 pub async fn read_body(
-    body: Incoming,
+    body: CallerBody,
     headers: &HeaderMap,
     catalog: &RouteCatalog,
     wait_limit: Duration,
--- a/crates/agatepin/src/relay/mod.rs
+++ b/crates/agatepin/src/relay/mod.rs
@@ -11,6 +11,7 @@
 pub mod body;
 pub mod broadcast;
 pub mod call;
+pub mod caller_body;
 pub mod daemon;
 pub mod datagram;
 pub mod datagram_handler;
--- a/crates/agatepin/src/relay/server.rs
+++ b/crates/agatepin/src/relay/server.rs
@@ -8,19 +8,21 @@
 
 use agatepin_core::relay::liveness::EntryListing;
 use bytes::Bytes;
-use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde_json::json;
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::relay::admit::EntryIdentity;
 use crate::relay::body::ReplyBody;
+use crate::relay::caller_body::{CallerBody, UnreadInput};
 use crate::relay::fleet::{FleetHandle, FleetState};
 use crate::relay::metrics::RelayMetrics;
 use crate::relay::ports::WireDialect;
@@ -31,6 +33,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Read buffer of a connection, in bytes, which bounds the size of a request's head.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Longest time for which a connection with unread input stays open for reading after its close.
+const LINGER_TIME: Duration = Duration::from_secs(1);
 /// Pause after a failed accept of a connection, mostly for lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -50,7 +54,7 @@
     /// Accepts connections and answers their requests by `answer`, until `closing` is cancelled.
     pub async fn run<Answer, Answering>(self, answer: Answer)
     where
-        Answer: Fn(Request<Incoming>) -> Answering + Clone + 'static,
+        Answer: Fn(Request<CallerBody>) -> Answering + Clone + 'static,
         Answering: Future<Output = Response<ReplyBody>> + 'static,
     {
         loop {
@@ -80,35 +84,68 @@
 /// progress is sent.
 async fn serve<Answer, Answering>(stream: TcpStream, leaving: CancellationToken, answer: Answer)
 where
-    Answer: Fn(Request<Incoming>) -> Answering,
+    Answer: Fn(Request<CallerBody>) -> Answering,
     Answering: Future<Output = Response<ReplyBody>>,
 {
     if let Err(err) = stream.set_nodelay(true) {
         log::debug!("TCP_NODELAY cannot be set on an HTTP connection: {err}");
     }
+    let (unread, discarder) = UnreadInput::channel();
     let service = service_fn(|request| {
-        let answering = answer(request);
-        async move { Ok::<_, Infallible>(answering.await) }
+        let answering = answer(unread.watch(request));
+        let unread = unread.clone();
+        async move {
+            let mut response = answering.await;
+            if unread.must_close() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response)
+        }
     });
     // A connection that is accepted during the shutdown still has its first request answered.
     let is_last = leaving.is_cancelled();
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .keep_alive(!is_last)
         .timer(TokioTimer::new())
         .header_read_timeout(IDLE_TIMEOUT)
         .max_buf_size(MAX_HEAD_BYTES)
         .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
-        () = leaving.cancelled(), if !is_last => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    let serving = async {
+        tokio::select! {
+            ended = &mut connection => ended,
+            () = leaving.cancelled(), if !is_last => {
+                std::pin::Pin::new(&mut connection).graceful_shutdown();
+                (&mut connection).await
+            }
         }
     };
+    let ended = tokio::select! {
+        ended = serving => ended,
+        never = discarder.run() => match never {},
+    };
+    // Hyper refuses a head that it cannot parse by itself, and reads no further.
+    let refused_head = ended.as_ref().is_err_and(hyper::Error::is_parse);
     if let Err(err) = ended {
         log::debug!("HTTP connection from a client failed: {err}");
     }
+    let stream = connection.into_parts().io.into_inner();
+    if refused_head || unread.must_close() {
+        linger(stream).await;
+    }
+}
+
+/// Closes a connection whose caller may still be sending: ends the answer, then reads and discards
+/// until the caller closes. A close with unread input would reset the connection, and the caller
+/// may then lose the answer.
+async fn linger(mut stream: TcpStream) {
+    if stream.shutdown().await.is_err() {
+        return;
+    }
+    let mut nowhere = tokio::io::sink();
+    let discarding = tokio::io::copy(&mut stream, &mut nowhere);
+    // The connection is closed whether or not the caller has closed it.
+    let _ = timeout(LINGER_TIME, discarding).await;
 }
 
 /// Answers queries of callers for addresses of entries, the platform's readiness check, and
@@ -131,7 +168,7 @@
     Dialect: WireDialect,
 {
     /// Answers one request: a readiness check, a directory query, or an operator's request.
-    pub fn answer(&self, request: &Request<Incoming>) -> Response<ReplyBody> {
+    pub fn answer<Content>(&self, request: &Request<Content>) -> Response<ReplyBody> {
         let uri = request.uri();
         if self.dialect.is_readiness_check(uri) {
             let ready = self.fleet.is_ready();
