A stream goes on only with its next event

What callers saw: after a stream had broken off, the next worker's answer of status 200 that held no rest of it put its text into the stream (lines of text, a whole head, an error sent as an event), and the stream then ended with its last chunk as if it were complete. An empty rest, or one of events that the caller had already, ended it as complete too.

Cause: an event without an id was always forwarded, and an answer that ended before any event counted as a stream that has ended.

Change: until the next event has been received, events without an id are skipped; an answer without that event is a failed attempt, and the stream goes on at another worker or ends without its last chunk.

--- a/crates/agatepin/src/relay/call.rs
+++ b/crates/agatepin/src/relay/call.rs
@@ -29,7 +29,7 @@
 use crate::relay::metrics::RelayMetrics;
 use crate::relay::ports::{TableStore, WireDialect};
 use crate::relay::refusal::{self, RefusalReason};
-use crate::relay::stream::{self, OpenStream, StreamResume};
+use crate::relay::stream::{self, EmptyAnswer, OpenStream, StreamResume};
 
 /// Longest wait for the head of an upstream's answer, and then for the first event of its stream, if
 /// the request may be retried at another upstream. Callers disconnect after 2 s without data.
@@ -424,7 +424,9 @@
             .deadline
             .saturating_duration_since(Instant::now());
         let wait_limit = self.first_event_timeout(&answer.slot, left);
-        match stream::open_stream(answer, call.last_event, wait_limit).await {
+        let opened =
+            stream::open_stream(answer, call.last_event, wait_limit, EmptyAnswer::Complete);
+        match opened.await {
             Ok(stream) => Ok((stream, headers)),
             Err(reason) => Err(AttemptFailure::MayHaveRun(reason)),
         }
@@ -484,7 +486,9 @@
             if !answer.response.status().is_success() {
                 continue;
             }
-            if let Ok(stream) = stream::open_stream(answer, after, wait_limit).await {
+            // Without an event, nothing shows that the caller has the whole stream.
+            let opened = stream::open_stream(answer, after, wait_limit, EmptyAnswer::Broken);
+            if let Ok(stream) = opened.await {
                 return Some(stream);
             }
         }
--- a/crates/agatepin/src/relay/stream.rs
+++ b/crates/agatepin/src/relay/stream.rs
@@ -38,6 +38,15 @@
     slot: SlotGuard,
 }
 
+/// What an answer that ends before its first event stands for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EmptyAnswer {
+    /// A complete stream.
+    Complete,
+    /// A failure: the caller still waits for events.
+    Broken,
+}
+
 /// Result of the next read of a stream.
 enum StreamStep {
     /// At least one complete event.
@@ -52,12 +61,13 @@
 /// that the caller has; without one, for the first event of the stream.
 ///
 /// # Errors
-/// The stream broke off before that event, or the event did not arrive within `wait_limit`. The text
-/// gives the cause.
+/// The stream broke off before that event, the event did not arrive within `wait_limit`, or the answer
+/// is `empty` and must not be. The text gives the cause.
 pub async fn open_stream(
     answer: OpenAnswer,
     last_event: Option<u64>,
     wait_limit: Duration,
+    empty: EmptyAnswer,
 ) -> Result<OpenStream, &'static str> {
     let mut stream = OpenStream {
         first: EventBatch {
@@ -76,7 +86,8 @@
             stream.slot.answer_started();
             return Ok(stream);
         }
-        Ok(StreamStep::End) => return Ok(stream),
+        Ok(StreamStep::End) if empty == EmptyAnswer::Complete => return Ok(stream),
+        Ok(StreamStep::End) => "no event",
         Ok(StreamStep::Broken(reason)) => reason,
         Err(_) => "no event in time",
     };
--- a/crates/core/src/relay/events.rs
+++ b/crates/core/src/relay/events.rs
@@ -49,6 +49,8 @@
     unnumbered: usize,
     /// Id of the last event that was forwarded to the caller; `None` if none had an id.
     last_forwarded: Option<EventId>,
+    /// The stream goes on after `last_forwarded`, and its next event has not been received yet.
+    awaits_next: bool,
 }
 
 impl EventSplitter {
@@ -57,6 +59,7 @@
     pub fn after(last: Option<EventId>) -> Self {
         Self {
             last_forwarded: last,
+            awaits_next: last.is_some(),
             ..Self::default()
         }
     }
@@ -81,7 +84,8 @@
     }
 
     /// Appends received bytes and returns the events that are now complete. Events up to the last
-    /// forwarded one are skipped, and an event without an id is always returned.
+    /// forwarded one are skipped, and so are events without an id before the first event after it:
+    /// nothing shows that they belong to the same stream.
     ///
     /// # Errors
     /// Returns [`EventError::Gap`] if an event id shows that events are missing, and
@@ -109,6 +113,10 @@
                 if got != after + 1 {
                     return Err(EventError::Gap { after, got });
                 }
+                self.awaits_next = false;
+            }
+            if self.awaits_next {
+                continue;
             }
             self.last_forwarded = id.or(self.last_forwarded);
             out.extend_from_slice(&event);
--- a/crates/core/tests/relay/events.rs
+++ b/crates/core/tests/relay/events.rs
@@ -67,6 +67,24 @@
     assert_eq!(err, EventError::Gap { after: 3, got: 5 });
 }
 
+/// Guards against the text of an error in the middle of a resumed stream.
+#[test]
+fn events_without_an_id_before_the_next_event_of_a_resumed_stream_are_skipped() {
+    for text in [
+        "oops\n\n",
+        "HTTP/1.1 500 Oops\r\n\r\n",
+        "data: oops\n\n",
+        "\n\n",
+    ] {
+        let mut splitter = EventSplitter::after(Some(3));
+        assert_eq!(splitter.push(text.as_bytes()).unwrap().events, 0);
+        let batch = splitter.push(&stream(4, 4)).unwrap();
+        assert_eq!(batch.bytes, stream(4, 4));
+        let batch = splitter.push(b": comment\n\n").unwrap();
+        assert_eq!(batch.events, 1);
+    }
+}
+
 #[test]
 fn an_incomplete_event_is_buffered() {
     let mut splitter = EventSplitter::default();
