A switch of protocols by an upstream is no answer

What callers saw: an upstream's answer of status 101 went to the caller, who had asked for no other protocol and would take what follows for the answer.

Cause: the HTTP client skips interim answers except this one, which it returns as the answer to the request.

Change: it is discarded like an answer to another request.

Measured: the new case failed before with status 101 where 502 is expected, and passes now.

--- a/crates/agatepin/src/relay/attempt.rs
+++ b/crates/agatepin/src/relay/attempt.rs
@@ -255,12 +255,15 @@
         return Err(AttemptFailure::NotRun(slot));
     }
     let unsigned = response.status().is_success() && !head.sealed;
-    // An answer is discarded if it belongs to another attempt, if its body has a content encoding, or
-    // if it is a success without the upstream's signature.
-    if foreign || head.encoded || unsigned {
+    // The HTTP client skips other interim answers, and takes this one for the last on its connection.
+    let interim = response.status().is_informational();
+    // An answer is discarded if it belongs to another attempt, if its body has a content encoding, if
+    // it is a success without the upstream's signature, or if it is none to the request.
+    if foreign || head.encoded || unsigned || interim {
         slot.set_outcome(SendOutcome::Failed);
         // `foreign`: the answer carries the id of another attempt; `unsigned`: it is a success without
-        // the upstream's signature. If both are false, the body had a content encoding.
+        // the upstream's signature. If both are false, the body had a content encoding, or the upstream
+        // switched to another protocol.
         log::warn!(request = request.id, upstream, foreign, unsigned; "answer not passed on");
         return Err(AttemptFailure::MayHaveRun("foreign answer"));
     }
