A stream without an event is a failed attempt

What callers saw: a complete stream without any event, where the worker's answer ended before its first one.

Cause: the end of an answer between two events counted as the end of its stream, also before the first event. An answer with neither length nor chunks ends so whenever its worker stops after the head.

Change: an answer without an event is a failed attempt. The exception is a caller that asks for the rest after an event, of which there may be none, if a length or a last chunk says so. Answers that have no body by their status or method are no streams.

--- a/crates/agatepin/src/relay/call.rs
+++ b/crates/agatepin/src/relay/call.rs
@@ -9,10 +9,10 @@
 use agatepin_core::poison::{SuspectAdmission, SuspectKey};
 use agatepin_core::relay::catalog::{LookupError, RouteSpec};
 use agatepin_core::relay::upstreams::SendOutcome;
-use hyper::body::Incoming;
-use hyper::header::CONTENT_LENGTH;
+use hyper::body::{Body, Incoming};
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::HeaderMap;
-use hyper::{Request, Response};
+use hyper::{Method, Request, Response, StatusCode};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
@@ -237,9 +237,7 @@
             let upstream = slot.upstream().clone();
             record.sent_to.push(upstream.clone());
             let failure = match self.send(&call, slot).await {
-                Ok(answer)
-                    if call.route.kind.is_stream() && answer.response.status().is_success() =>
-                {
+                Ok(answer) if is_event_stream(&call, &answer) => {
                     match self.open_stream(&call, answer).await {
                         Ok((stream, head)) => {
                             tried.push(upstream);
@@ -424,9 +422,13 @@
             .deadline
             .saturating_duration_since(Instant::now());
         let wait_limit = self.first_event_timeout(&answer.slot, left);
-        let opened =
-            stream::open_stream(answer, call.last_event, wait_limit, EmptyAnswer::Complete);
-        match opened.await {
+        // A caller that has all events of a stream asks for a rest that is empty.
+        let empty = if call.last_event.is_some() && has_marked_end(&answer.response) {
+            EmptyAnswer::Complete
+        } else {
+            EmptyAnswer::Broken
+        };
+        match stream::open_stream(answer, call.last_event, wait_limit, empty).await {
             Ok(stream) => Ok((stream, headers)),
             Err(reason) => Err(AttemptFailure::MayHaveRun(reason)),
         }
@@ -549,6 +551,21 @@
     }
 }
 
+/// Whether the answer is a stream of events; others are read completely before any of them is
+/// forwarded.
+fn is_event_stream(call: &CallState, answer: &OpenAnswer) -> bool {
+    let status = answer.response.status();
+    let has_body = call.request.method != Method::HEAD && status != StatusCode::NO_CONTENT;
+    call.route.kind.is_stream() && status.is_success() && has_body
+}
+
+/// Whether the end of an answer's body is marked by a length or a last chunk, and not only by the end
+/// of its connection.
+fn has_marked_end(answer: &Response<Incoming>) -> bool {
+    let is_chunked = answer.headers().contains_key(TRANSFER_ENCODING);
+    is_chunked || answer.body().size_hint().exact().is_some()
+}
+
 /// Records a refusal in the access log record and builds the answer for the caller.
 fn refuse(mut record: AccessRecord, reason: RefusalReason) -> Response<ReplyBody> {
     record.record_head(reason.status().as_u16(), reason.code());
