Each request in a shutdown is answered before its end

What callers saw: requests that came late in the grace period, on connections opened early in it, were passed on and cut at its end without an answer, among them requests that may not be repeated. So were requests that had come before and still ran.

Cause: an entry took each request that it read, whatever its deadline, and closed all connections shortly before the end of the grace period.

Change: an entry knows the time at which it stops. A request that arrives in the shutdown is taken if its deadline lies before that time, or if its caller may repeat it and may still have the entry's address cached; else it is refused as not run. At that time the requests in progress are ended: 504 if they were sent, 503 if not, and streams break off without their last chunk.

--- a/crates/agatepin/src/relay/call.rs
+++ b/crates/agatepin/src/relay/call.rs
@@ -15,6 +15,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
 
 use crate::relay::access_log::AccessRecord;
 use crate::relay::admit::{AdmissionCriteria, EntryIdentity, admit};
@@ -96,6 +97,14 @@
     }
 }
 
+/// Answer of an upstream that can be forwarded.
+enum ForwardedAnswer {
+    /// A stream that has begun, and the headers of its answer.
+    Stream(Box<OpenStream>, HeaderMap),
+    /// An answer that was read completely.
+    Whole(Response<ReplyBody>),
+}
+
 /// Decision after an attempt that gave no answer to forward.
 enum RetryDecision {
     /// Send the request to another upstream.
@@ -162,7 +171,13 @@
             .unwrap_or(DEFAULT_CLIENT_TIMEOUT)
             .min(route.timeout);
         let deadline = started + client_timeout;
-        let body = match read_body(body, &parts.headers, &catalog, client_timeout).await {
+        let shutdown = self.fleet.with(|fleet| fleet.shutdown.clone());
+        let body = tokio::select! {
+            biased;
+            body = read_body(body, &parts.headers, &catalog, client_timeout) => body,
+            () = self.fleet.stopping.cancelled() => Err(RefusalReason::Leaving),
+        };
+        let body = match body {
             Ok(body) => body,
             Err(reason) => return refuse(record, reason),
         };
@@ -195,7 +210,9 @@
                 body,
                 customer: customer_name,
                 priority: priority.unwrap_or(route.priority).min(9),
-                deadline,
+                deadline: shutdown
+                    .as_ref()
+                    .map_or(deadline, |times| deadline.min(times.stop_at)),
             },
             allowed_regions: customer
                 .map(|customer| customer.home_regions.clone())
@@ -209,6 +226,10 @@
             request_hash,
             suspect,
         };
+        let kind = call.route.kind;
+        if shutdown.is_some_and(|times| !times.admits(kind, deadline, started)) {
+            return self.refuse_not_run(&call, record, RefusalReason::Leaving);
+        }
         self.run_attempts(call, record).await
     }
 
@@ -229,30 +250,32 @@
         // Once the request may have run somewhere, no refusal may state that it has not.
         let mut may_have_run = false;
         loop {
-            let slot = match self.acquire_slot(&call, &tried).await {
+            let slot = tokio::select! {
+                biased;
+                slot = self.acquire_slot(&call, &tried) => slot,
+                () = self.fleet.stopping.cancelled() => Err(RefusalReason::Leaving),
+            };
+            let slot = match slot {
                 Ok(slot) => slot,
                 Err(_) if may_have_run => return refuse(record, RefusalReason::Broken),
                 Err(reason) => return self.refuse_not_run(&call, record, reason),
             };
             let upstream = slot.upstream().clone();
             record.sent_to.push(upstream.clone());
-            let failure = match self.send(&call, slot).await {
-                Ok(answer) if is_event_stream(&call, &answer) => {
-                    match self.open_stream(&call, answer).await {
-                        Ok((stream, head)) => {
-                            tried.push(upstream);
-                            return self.forward_stream(call, record, tried, stream, &head);
-                        }
-                        Err(failure) => failure,
-                    }
+            let answered = tokio::select! {
+                biased;
+                answered = self.attempt(&call, slot, tried.is_empty()) => answered,
+                () = self.fleet.stopping.cancelled() => Err(AttemptFailure::TimeUp),
+            };
+            let failure = match answered {
+                Ok(ForwardedAnswer::Stream(stream, head)) => {
+                    tried.push(upstream);
+                    return self.forward_stream(call, record, tried, *stream, &head);
+                }
+                Ok(ForwardedAnswer::Whole(response)) => {
+                    record.record_head(response.status().as_u16(), "answered");
+                    return response;
                 }
-                Ok(answer) => match self.buffer_answer(&call, answer, tried.is_empty()).await {
-                    Ok(response) => {
-                        record.record_head(response.status().as_u16(), "answered");
-                        return response;
-                    }
-                    Err(failure) => failure,
-                },
                 Err(failure) => failure,
             };
             if matches!(failure, AttemptFailure::Unreachable) {
@@ -274,6 +297,28 @@
         }
     }
 
+    /// Sends a request to the upstream of `slot` and reads its answer: completely, or to the first event
+    /// of a stream. `first` is set on the first attempt.
+    async fn attempt(
+        &self,
+        call: &CallState,
+        slot: SlotGuard,
+        first: bool,
+    ) -> Result<ForwardedAnswer, AttemptFailure> {
+        let answer = self.send(call, slot).await?;
+        if is_event_stream(call, &answer) {
+            let (stream, head) = self.open_stream(call, answer).await?;
+            return Ok(ForwardedAnswer::Stream(Box::new(stream), head));
+        }
+        let response = self.buffer_answer(call, answer, first).await?;
+        Ok(ForwardedAnswer::Whole(response))
+    }
+
+    /// Cancelled when the requests still in progress are ended, as the process is about to exit.
+    pub fn stopping(&self) -> CancellationToken {
+        self.fleet.stopping.clone()
+    }
+
     /// Refuses a request that has not run, and remembers it to recognise a retry by its caller.
     fn refuse_not_run(
         &self,
--- a/crates/agatepin/src/relay/daemon.rs
+++ b/crates/agatepin/src/relay/daemon.rs
@@ -8,9 +8,10 @@
 
 use agatepin_core::relay::liveness::EntryListing;
 use agatepin_core::relay::rate_share::RetryLimit;
+use agatepin_core::relay::shutdown::ShutdownTimes;
 use eyre::{Result, WrapErr};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, sleep_until, timeout, timeout_at};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -35,6 +36,8 @@
 /// Part of the grace period (time from SIGTERM until the process must have exited) that is reserved
 /// for the exit of the process.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
+/// Time for the answers to the requests that are still in progress when the entry stops.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(250);
 /// Timeout of the removal of the entry's row from the platform's store during the shutdown.
 const DEREGISTER_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -200,9 +203,17 @@
     /// Shuts down gracefully and returns when all connections have ended or the grace period is
     /// over. The entry leaves the directory at once, connections are closed after the answer in
     /// progress, and new ones are accepted as long as callers may still have the address cached.
+    /// Requests that are in progress shortly before the end of the grace period are ended, each with
+    /// an answer.
     pub async fn leave(self) {
         let started = Instant::now();
-        self.fleet.with(|fleet| fleet.leaving = true);
+        let answering = self.grace.saturating_sub(EXIT_MARGIN + LAST_ANSWERS_TIME);
+        let times = ShutdownTimes {
+            cached_until: started + SHUTDOWN_ACCEPT_TIME.min(answering),
+            stop_at: started + answering,
+        };
+        self.fleet
+            .with(|fleet| fleet.shutdown = Some(times.clone()));
         self.broadcaster.broadcast();
         log::info!(entry = self.name; "graceful shutdown begins");
         self.leaving.cancel();
@@ -211,12 +222,15 @@
             Ok(Ok(())) => {}
             failed => log::warn!(failed:?; "removal of the entry's row from the store failed"),
         }
-        sleep(SHUTDOWN_ACCEPT_TIME.saturating_sub(started.elapsed())).await;
+        sleep_until(times.cached_until.into()).await;
         self.closing.cancel();
         self.connections.close();
-        let left = self.grace.saturating_sub(started.elapsed() + EXIT_MARGIN);
-        let whole = timeout(left, self.connections.wait()).await.is_ok();
-        // `whole`: all connections of callers ended before the grace period did.
+        let whole = timeout_at(times.stop_at.into(), self.connections.wait()).await;
+        let whole = whole.is_ok();
+        self.fleet.stopping.cancel();
+        // Connections without a request stay open.
+        let _ = timeout(LAST_ANSWERS_TIME, self.connections.wait()).await;
+        // `whole`: all connections of callers ended before the entry stopped.
         log::info!(entry = self.name, whole; "entry stopped");
     }
 }
--- a/crates/agatepin/src/relay/fleet.rs
+++ b/crates/agatepin/src/relay/fleet.rs
@@ -14,8 +14,10 @@
 use agatepin_core::relay::rate_share::{ColdRateShare, RetryLimit, RetryShare};
 use agatepin_core::relay::readers::ReaderDirectory;
 use agatepin_core::relay::schedule::WeightsSchedule;
+use agatepin_core::relay::shutdown::ShutdownTimes;
 use agatepin_core::relay::upstreams::UpstreamDirectory;
 use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
 
 use crate::relay::ports::{FleetUpdate, MirrorTable};
 
@@ -59,8 +61,8 @@
     pub refusals: RefusedRequests,
     /// Suspects: requests that crashed upstreams, with identifiers of the crashes.
     pub suspects: SuspectTracker,
-    /// A graceful shutdown has begun.
-    pub leaving: bool,
+    /// Times of the graceful shutdown, once it has begun.
+    pub shutdown: Option<ShutdownTimes>,
     /// Wakes the broadcaster, to send heartbeats and rosters without waiting for the next interval.
     pub heartbeat_due: Rc<Notify>,
     /// State of the other entries' copies of the store's tables, and which of these entries read
@@ -86,6 +88,8 @@
     /// Whether this entry's requests in flight or its refusals changed since its last report to
     /// other entries.
     pub unreported: Rc<Cell<bool>>,
+    /// Cancelled when the requests still in progress are ended: the process is about to exit.
+    pub stopping: CancellationToken,
 }
 
 impl FleetHandle {
@@ -104,7 +108,7 @@
             client_timeouts: ClientTimeouts::default(),
             refusals: RefusedRequests::default(),
             suspects: SuspectTracker::new(SUSPECT_RETENTION),
-            leaving: false,
+            shutdown: None,
             heartbeat_due: Rc::default(),
             table_copies: ReaderDirectory::default(),
             rows_read: Rc::default(),
@@ -116,6 +120,7 @@
             state: Rc::new(RefCell::new(state)),
             slot_freed: Rc::new(Notify::new()),
             unreported: Rc::default(),
+            stopping: CancellationToken::new(),
         }
     }
 
@@ -141,7 +146,9 @@
     /// shutting down.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.with(|fleet| fleet.catalog.is_some() && fleet.upstreams_read && !fleet.leaving)
+        self.with(|fleet| {
+            fleet.catalog.is_some() && fleet.upstreams_read && fleet.shutdown.is_none()
+        })
     }
 }
 
--- a/crates/agatepin/src/relay/refusal.rs
+++ b/crates/agatepin/src/relay/refusal.rs
@@ -42,6 +42,8 @@
         TimeUp,
         /// The deadline passed before the request was sent.
         TimeUpUnsent,
+        /// The entry is shutting down and would exit before the request is answered.
+        Leaving,
     }
 }
 
@@ -71,6 +73,7 @@
             Self::Broken => "broken",
             Self::TimeUp => "time_up",
             Self::TimeUpUnsent => "time_up_unsent",
+            Self::Leaving => "leaving",
         }
     }
 
@@ -92,7 +95,8 @@
             | Self::HeldOff(_)
             | Self::Suspect
             | Self::NotRun
-            | Self::TimeUpUnsent => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::TimeUpUnsent
+            | Self::Leaving => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
@@ -101,9 +105,11 @@
         match self {
             Self::Full | Self::Suspect => Some(FULL_RETRY_AFTER),
             Self::HeldOff(left) => Some(left.max(DEFAULT_RETRY_AFTER)),
-            Self::NoConfig | Self::NoUpstream | Self::NotRun | Self::TimeUpUnsent => {
-                Some(DEFAULT_RETRY_AFTER)
-            }
+            Self::NoConfig
+            | Self::NoUpstream
+            | Self::NotRun
+            | Self::TimeUpUnsent
+            | Self::Leaving => Some(DEFAULT_RETRY_AFTER),
             _ => None,
         }
     }
--- a/crates/agatepin/src/relay/server.rs
+++ b/crates/agatepin/src/relay/server.rs
@@ -209,7 +209,7 @@
     });
     let state = json!({
         "entry": own,
-        "leaving": fleet.leaving,
+        "leaving": fleet.shutdown.is_some(),
         "catalog": fleet.catalog.as_ref().map(|catalog| catalog.version()),
         "evacuated": fleet.upstreams.evacuated().collect::<Vec<_>>(),
         "entries_alive": fleet.entries.alive_names(own, now).collect::<Vec<_>>(),
--- a/crates/agatepin/src/relay/stream.rs
+++ b/crates/agatepin/src/relay/stream.rs
@@ -24,6 +24,9 @@
 /// 2 s without data.
 const STREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Cause of a stream's end that is no fault of its upstream, so that it is not resumed.
+const TIME_UP: &str = "time_up";
+
 /// Stream of an upstream whose first events have arrived, or which ended without any.
 pub struct OpenStream {
     /// Events that were read but not forwarded yet.
@@ -146,6 +149,7 @@
         return;
     }
     let deadline = resume.call.request.deadline;
+    let stopping = resume.relay.stopping();
     loop {
         let left = deadline.saturating_duration_since(Instant::now());
         let step = tokio::select! {
@@ -154,6 +158,7 @@
                 resume.record.outcome = "caller_left";
                 return;
             }
+            () = stopping.cancelled() => Ok(StreamStep::Broken(TIME_UP)),
         };
         let reason = match step {
             Ok(StreamStep::Events(batch)) => {
@@ -168,7 +173,7 @@
                 return;
             }
             Ok(StreamStep::Broken(reason)) => reason,
-            Err(_) if left <= STREAM_IDLE_TIMEOUT => "time_up",
+            Err(_) if left <= STREAM_IDLE_TIMEOUT => TIME_UP,
             Err(_) => "silent",
         };
         stream.slot.set_outcome(SendOutcome::Failed);
@@ -179,6 +184,7 @@
         let next = tokio::select! {
             next = resume.try_resume(last, reason) => next,
             () = parts.closed() => None,
+            () = stopping.cancelled() => None,
         };
         let Some(next) = next else {
             resume.record.outcome = "stream_broken";
@@ -202,7 +208,7 @@
     /// Resumes the stream after the event `last`, unless the request must not be retried or its
     /// deadline has passed.
     async fn try_resume(&mut self, last: Option<u64>, reason: &str) -> Option<OpenStream> {
-        if !self.call.route.kind.is_retryable() || reason == "time_up" {
+        if !self.call.route.kind.is_retryable() || reason == TIME_UP {
             return None;
         }
         let stream = self.relay.resume(&self.call, &mut self.tried, last).await?;
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -12,6 +12,7 @@
 pub mod readers;
 pub mod rollout;
 pub mod schedule;
+pub mod shutdown;
 pub mod sources;
 pub mod subset;
 pub mod upstreams;
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -13,6 +13,7 @@
     pub mod readers;
     pub mod schedule;
     pub mod setups;
+    pub mod shutdown;
     pub mod sources;
     pub mod subset;
     pub mod upstreams;
