--- a/crates/agatepin/src/relay/call.rs
+++ b/crates/agatepin/src/relay/call.rs
@@ -9,11 +9,13 @@
 use agatepin_core::poison::{SuspectAdmission, SuspectKey};
 use agatepin_core::relay::catalog::{LookupError, RouteSpec};
 use agatepin_core::relay::upstreams::SendOutcome;
-use hyper::header::CONTENT_LENGTH;
+use hyper::body::{Body, Incoming};
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::HeaderMap;
-use hyper::{Request, Response};
+use hyper::{Method, Request, Response, StatusCode};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
 
 use crate::relay::access_log::AccessRecord;
 use crate::relay::admit::{AdmissionCriteria, EntryIdentity, admit};
@@ -29,7 +31,7 @@
 use crate::relay::metrics::RelayMetrics;
 use crate::relay::ports::{TableStore, WireDialect};
 use crate::relay::refusal::{self, RefusalReason};
-use crate::relay::stream::{self, OpenStream, StreamResume};
+use crate::relay::stream::{self, EmptyAnswer, OpenStream, StreamResume};
 
 /// Longest wait for the head of an upstream's answer, and then for the first event of its stream, if
 /// the request may be retried at another upstream. Callers disconnect after 2 s without data.
@@ -96,6 +98,14 @@
     }
 }
 
+/// Answer of an upstream that can be forwarded.
+enum ForwardedAnswer {
+    /// A stream that has begun, and the headers of its answer.
+    Stream(Box<OpenStream>, HeaderMap),
+    /// An answer that was read completely.
+    Whole(Response<ReplyBody>),
+}
+
 /// Decision after an attempt that gave no answer to forward.
 enum RetryDecision {
     /// Send the request to another upstream.
@@ -162,7 +172,13 @@
             .unwrap_or(DEFAULT_CLIENT_TIMEOUT)
             .min(route.timeout);
         let deadline = started + client_timeout;
-        let body = match read_body(body, &parts.headers, &catalog, client_timeout).await {
+        let shutdown = self.fleet.with(|fleet| fleet.shutdown.clone());
+        let body = tokio::select! {
+            biased;
+            body = read_body(body, &parts.headers, &catalog, client_timeout) => body,
+            () = self.fleet.stopping.cancelled() => Err(RefusalReason::Leaving),
+        };
+        let body = match body {
             Ok(body) => body,
             Err(reason) => return refuse(record, reason),
         };
@@ -195,7 +211,9 @@
                 body,
                 customer: customer_name,
                 priority: priority.unwrap_or(route.priority).min(9),
-                deadline,
+                deadline: shutdown
+                    .as_ref()
+                    .map_or(deadline, |times| deadline.min(times.stop_at)),
             },
             allowed_regions: customer
                 .map(|customer| customer.home_regions.clone())
@@ -209,6 +227,10 @@
             request_hash,
             suspect,
         };
+        let kind = call.route.kind;
+        if shutdown.is_some_and(|times| !times.admits(kind, deadline, started)) {
+            return self.refuse_not_run(&call, record, RefusalReason::Leaving);
+        }
         self.run_attempts(call, record).await
     }
 
@@ -229,32 +251,32 @@
         // Once the request may have run somewhere, no refusal may state that it has not.
         let mut may_have_run = false;
         loop {
-            let slot = match self.acquire_slot(&call, &tried).await {
+            let slot = tokio::select! {
+                biased;
+                slot = self.acquire_slot(&call, &tried) => slot,
+                () = self.fleet.stopping.cancelled() => Err(RefusalReason::Leaving),
+            };
+            let slot = match slot {
                 Ok(slot) => slot,
                 Err(_) if may_have_run => return refuse(record, RefusalReason::Broken),
                 Err(reason) => return self.refuse_not_run(&call, record, reason),
             };
             let upstream = slot.upstream().clone();
             record.sent_to.push(upstream.clone());
-            let failure = match self.send(&call, slot).await {
-                Ok(answer)
-                    if call.route.kind.is_stream() && answer.response.status().is_success() =>
-                {
-                    match self.open_stream(&call, answer).await {
-                        Ok((stream, head)) => {
-                            tried.push(upstream);
-                            return self.forward_stream(call, record, tried, stream, &head);
-                        }
-                        Err(failure) => failure,
-                    }
+            let answered = tokio::select! {
+                biased;
+                answered = self.attempt(&call, slot, tried.is_empty()) => answered,
+                () = self.fleet.stopping.cancelled() => Err(AttemptFailure::TimeUp),
+            };
+            let failure = match answered {
+                Ok(ForwardedAnswer::Stream(stream, head)) => {
+                    tried.push(upstream);
+                    return self.forward_stream(call, record, tried, *stream, &head);
+                }
+                Ok(ForwardedAnswer::Whole(response)) => {
+                    record.record_head(response.status().as_u16(), "answered");
+                    return response;
                 }
-                Ok(answer) => match self.buffer_answer(&call, answer, tried.is_empty()).await {
-                    Ok(response) => {
-                        record.record_head(response.status().as_u16(), "answered");
-                        return response;
-                    }
-                    Err(failure) => failure,
-                },
                 Err(failure) => failure,
             };
             if matches!(failure, AttemptFailure::Unreachable) {
@@ -276,6 +298,28 @@
         }
     }
 
+    /// Sends a request to the upstream of `slot` and reads its answer: completely, or to the first event
+    /// of a stream. `first` is set on the first attempt.
+    async fn attempt(
+        &self,
+        call: &CallState,
+        slot: SlotGuard,
+        first: bool,
+    ) -> Result<ForwardedAnswer, AttemptFailure> {
+        let answer = self.send(call, slot).await?;
+        if is_event_stream(call, &answer) {
+            let (stream, head) = self.open_stream(call, answer).await?;
+            return Ok(ForwardedAnswer::Stream(Box::new(stream), head));
+        }
+        let response = self.buffer_answer(call, answer, first).await?;
+        Ok(ForwardedAnswer::Whole(response))
+    }
+
+    /// Cancelled when the requests still in progress are ended, as the process is about to exit.
+    pub fn stopping(&self) -> CancellationToken {
+        self.fleet.stopping.clone()
+    }
+
     /// Refuses a request that has not run, and remembers it to recognise a retry by its caller.
     fn refuse_not_run(
         &self,
@@ -424,7 +468,13 @@
             .deadline
             .saturating_duration_since(Instant::now());
         let wait_limit = self.first_event_timeout(&answer.slot, left);
-        match stream::open_stream(answer, call.last_event, wait_limit).await {
+        // A caller that has all events of a stream asks for a rest that is empty.
+        let empty = if call.last_event.is_some() && has_marked_end(&answer.response) {
+            EmptyAnswer::Complete
+        } else {
+            EmptyAnswer::Broken
+        };
+        match stream::open_stream(answer, call.last_event, wait_limit, empty).await {
             Ok(stream) => Ok((stream, headers)),
             Err(reason) => Err(AttemptFailure::MayHaveRun(reason)),
         }
@@ -484,7 +534,9 @@
             if !answer.response.status().is_success() {
                 continue;
             }
-            if let Ok(stream) = stream::open_stream(answer, after, wait_limit).await {
+            // Without an event, nothing shows that the caller has the whole stream.
+            let opened = stream::open_stream(answer, after, wait_limit, EmptyAnswer::Broken);
+            if let Ok(stream) = opened.await {
                 return Some(stream);
             }
         }
@@ -545,6 +597,21 @@
     }
 }
 
+/// Whether the answer is a stream of events; others are read completely before any of them is
+/// forwarded.
+fn is_event_stream(call: &CallState, answer: &OpenAnswer) -> bool {
+    let status = answer.response.status();
+    let has_body = call.request.method != Method::HEAD && status != StatusCode::NO_CONTENT;
+    call.route.kind.is_stream() && status.is_success() && has_body
+}
+
+/// Whether the end of an answer's body is marked by a length or a last chunk, and not only by the end
+/// of its connection.
+fn has_marked_end(answer: &Response<Incoming>) -> bool {
+    let is_chunked = answer.headers().contains_key(TRANSFER_ENCODING);
+    is_chunked || answer.body().size_hint().exact().is_some()
+}
+
 /// Records a refusal in the access log record and builds the answer for the caller.
 fn refuse(mut record: AccessRecord, reason: RefusalReason) -> Response<ReplyBody> {
     record.record_head(reason.status().as_u16(), reason.code());
