A part of prompts that crashes workers is refused after few crashes

Callers whose requests share a part that crashes each worker that begins to answer took down one worker after the other, two for each request where it was retried, and the sound requests beside them: the relay knew suspects only by customer and digest of the whole body, and no two of these requests are alike.

Entries now keep evidence on each part of a prompt but the last: the crashes of upstreams while they ran requests with it, by the life of the upstream, and the last first event. Crashes that may have one cause count as one wave. After the first wave (the second, for a part that has begun answers before), one request with the part runs at a time in the fleet; after the third, none for ten minutes. A first event anywhere clears the part. Entries tell each other at once of crashes, trials and first events, and repeat the suspects with each heartbeat. Requests with a part under suspicion are not retried or resumed.

--- a/crates/agatepin/src/relay/attempt.rs
+++ b/crates/agatepin/src/relay/attempt.rs
@@ -17,6 +17,7 @@
 use crate::relay::fleet::{FleetHandle, FleetState};
 use crate::relay::http_client::{self, ConnectionGuard, ExchangeError};
 use crate::relay::metrics::RelayMetrics;
+use crate::relay::part_watch::PartWitness;
 use crate::relay::ports::{AnswerHead, ForwardHead, UpstreamNotices, WireDialect};
 
 /// Timeout of the connection to an upstream: covers the longest round trip and a slow handshake.
@@ -119,6 +120,9 @@
     unread: u32,
     /// Outcome that is recorded on drop.
     outcome: SendOutcome,
+    /// Reports what the attempt shows of the parts of the request's prompt; none if nothing is to be
+    /// reported.
+    witness: Option<PartWitness>,
 }
 
 impl SlotGuard {
@@ -131,17 +135,37 @@
             upstream,
             unread: prompt_tokens,
             outcome: SendOutcome::Abandoned,
+            witness: None,
         }
     }
 
+    /// Lets `witness` report what the attempt shows of the parts of the request's prompt.
+    #[must_use]
+    pub fn with_witness(mut self, witness: PartWitness) -> Self {
+        self.witness = Some(witness);
+        self
+    }
+
     /// Records that the answer began, so that the request's prompt has been prefilled.
     pub fn answer_started(&mut self) {
+        if let Some(witness) = &self.witness {
+            witness.record_answer();
+        }
         let unread = std::mem::take(&mut self.unread);
         self.fleet
             .with(|fleet| fleet.upstreams.answer_started(&self.upstream, unread));
         self.fleet.notify_requests_changed();
     }
 
+    /// Records that the connection to the upstream broke before the answer began, as it does when the
+    /// upstream crashes.
+    pub fn record_break(&mut self) {
+        self.outcome = SendOutcome::Failed;
+        if let Some(witness) = &self.witness {
+            witness.record_crash(&self.upstream);
+        }
+    }
+
     /// Sets the outcome that is recorded on drop; [`SendOutcome::Abandoned`] if never set.
     pub fn set_outcome(&mut self, outcome: SendOutcome) {
         self.outcome = outcome;
@@ -195,6 +219,9 @@
     let Some((address, born, weights)) = found else {
         return Err(AttemptFailure::Unreachable);
     };
+    if let Some(witness) = &mut slot.witness {
+        witness.record_sent(born, now);
+    }
     let mut headers = request.headers.clone();
     let head = ForwardHead {
         time_left,
@@ -312,7 +339,7 @@
     // The request was not sent to the upstream, or the connection broke before the answer's head.
     log::info!(request, upstream = slot.upstream, err:%; "send failed");
     if let ExchangeError::Exchange(_) = err {
-        slot.set_outcome(SendOutcome::Failed);
+        slot.record_break();
         return AttemptFailure::MayHaveRun("broken exchange");
     }
     slot.set_outcome(SendOutcome::Unreachable);
--- a/crates/agatepin/src/relay/broadcast.rs
+++ b/crates/agatepin/src/relay/broadcast.rs
@@ -8,6 +8,7 @@
 
 use agatepin_core::ids::RegionId;
 use agatepin_core::relay::liveness::EntryListing;
+use agatepin_core::relay::part_evidence::PartKey;
 use agatepin_core::relay::subset;
 use prost::Message;
 use tokio::net::UdpSocket;
@@ -19,6 +20,7 @@
 };
 use crate::relay::fleet::{FleetHandle, FleetState};
 use crate::relay::mirror::TableMirror;
+use crate::relay::part_news::{EntryParts, MAX_PARTS_PER_DATAGRAM, PartRecord};
 use crate::relay::ports::{TableStore, WireDialect};
 
 /// Longest time between two heartbeats of this entry.
@@ -36,6 +38,10 @@
 const LEAVING_NEWS_TIME: Duration = Duration::from_secs(10);
 /// Maximum number of such news in one heartbeat.
 const MAX_LEAVING_PER_DATAGRAM: usize = 32;
+/// Time for which news of parts of prompts is collected before it is sent.
+const PART_BATCH_INTERVAL: Duration = Duration::from_millis(2);
+/// Maximum number of parts that are told of periodically; those with the latest crashes are.
+const MAX_PERIODIC_PARTS: usize = 32;
 /// Maximum number of suspects (requests that crashed upstreams) in one heartbeat.
 const MAX_SUSPECTS_PER_DATAGRAM: usize = 32;
 
@@ -126,6 +132,54 @@
         }
     }
 
+    /// Tells all other entries of parts of prompts whose requests crash upstreams, until the task is
+    /// dropped: at once after news, and all suspects periodically.
+    pub async fn report_parts(self) {
+        let parts_due = self.fleet.with(|fleet| fleet.parts_due.clone());
+        loop {
+            let next = Instant::now() + HEARTBEAT_INTERVAL;
+            loop {
+                tokio::select! {
+                    () = sleep_until(next.into()) => break,
+                    () = parts_due.notified() => sleep(PART_BATCH_INTERVAL).await,
+                }
+                self.send_due_parts();
+            }
+            let now = Instant::now();
+            let suspects: BTreeSet<PartKey> = self.fleet.with(|fleet| {
+                let suspects = fleet.parts.suspects(now).into_iter();
+                let keys = suspects.map(|(key, _)| key.clone());
+                keys.take(MAX_PERIODIC_PARTS).collect()
+            });
+            self.send_parts(&suspects, &self.other_entries());
+        }
+    }
+
+    /// Sends the news of parts that are due to all other entries, and replies to single ones.
+    fn send_due_parts(&self) {
+        let (due, replies) = self.fleet.with(|fleet| {
+            let replies = std::mem::take(&mut fleet.part_replies);
+            (fleet.parts.take_due(), replies)
+        });
+        self.send_parts(&due, &self.other_entries());
+        for (peer, parts) in replies {
+            self.send_parts(&parts, &BTreeSet::from([peer]));
+        }
+    }
+
+    /// Sends what this entry knows of `parts` to `peers`.
+    fn send_parts(&self, parts: &BTreeSet<PartKey>, peers: &BTreeSet<SocketAddr>) {
+        let now = Instant::now();
+        let records: Vec<PartRecord> = self.fleet.with(|fleet| {
+            let news = parts.iter().filter_map(|key| fleet.parts.news_of(key, now));
+            news.map(PartRecord::from).collect()
+        });
+        for records in records.chunks(MAX_PARTS_PER_DATAGRAM) {
+            let parts = records.to_vec();
+            self.send_datagram(DatagramBody::Parts(EntryParts { parts }), peers.clone());
+        }
+    }
+
     /// Sends summaries of this region's engines to entries of other regions, until the task is
     /// dropped. Each of those entries receives the summaries from one entry of this region.
     pub async fn report_engines(self) {
@@ -178,11 +232,16 @@
 
     /// Sends a heartbeat to all other entries, also to those that do not count as alive.
     fn send_heartbeats(&self, now: Instant) {
-        let entries = self.fleet.with(|fleet| {
+        let heartbeat = DatagramBody::Hello(self.build_heartbeat(now));
+        self.send_datagram(heartbeat, self.other_entries());
+    }
+
+    /// Overlay addresses of all other entries, also of those that do not count as alive.
+    fn other_entries(&self) -> BTreeSet<SocketAddr> {
+        self.fleet.with(|fleet| {
             let others = fleet.entries.others(&self.name);
             others.map(|(_, listing)| listing.overlay).collect()
-        });
-        self.send_datagram(DatagramBody::Hello(self.build_heartbeat(now)), entries);
+        })
     }
 
     /// Sends one datagram to each of `peers`; failures are only logged.
--- a/crates/agatepin/src/relay/call.rs
+++ b/crates/agatepin/src/relay/call.rs
@@ -18,7 +18,7 @@
 
 use crate::relay::access_log::AccessRecord;
 use crate::relay::admit::{AdmissionCriteria, EntryIdentity, admit};
-use crate::relay::answer_buffer::AnswerBuffers;
+use crate::relay::answer_buffer::{AnswerBuffers, BufferError};
 use crate::relay::attempt::{AttemptFailure, ForwardedRequest, OpenAnswer, SlotGuard, send_once};
 use crate::relay::body::{BODY_QUEUE_PARTS, ReplyBody};
 use crate::relay::fleet::FleetHandle;
@@ -27,6 +27,7 @@
     request_hash, request_host,
 };
 use crate::relay::metrics::RelayMetrics;
+use crate::relay::part_watch::PartWatch;
 use crate::relay::ports::{TableStore, WireDialect};
 use crate::relay::refusal::{self, RefusalReason};
 use crate::relay::stream::{self, OpenStream, StreamResume};
@@ -65,6 +66,8 @@
     /// Customer and digest of path and body: the key under which upstreams' crashes that this request
     /// may have caused are counted.
     suspect: SuspectKey,
+    /// Parts of the prompt, whose requests may crash upstreams.
+    parts: PartWatch,
 }
 
 /// Relays callers' requests to upstreams.
@@ -200,6 +203,7 @@
             allowed_regions: customer
                 .map(|customer| customer.home_regions.clone())
                 .unwrap_or_default(),
+            parts: PartWatch::new(self.fleet.clone(), &service, head.parts),
             service,
             route,
             started,
@@ -223,6 +227,9 @@
         if admission == SuspectAdmission::Refuse {
             return refuse(record, RefusalReason::Suspect);
         }
+        if let Err(reason) = call.parts.admit() {
+            return self.refuse_not_run(&call, record, reason);
+        }
         // Upstreams of all attempts, and the number of attempts without a connection.
         let mut tried = Vec::new();
         let mut unreachable = 0;
@@ -243,6 +250,7 @@
                     match self.open_stream(&call, answer).await {
                         Ok((stream, head)) => {
                             tried.push(upstream);
+                            call.parts.end_trial();
                             return self.forward_stream(call, record, tried, stream, &head);
                         }
                         Err(failure) => failure,
@@ -318,13 +326,12 @@
             return Err(RefusalReason::TimeUpUnsent);
         }
         let upstream = admit(&self.fleet, &self.identity, &criteria).await?;
+        let slot = SlotGuard::new(self.fleet.clone(), upstream, call.prompt_tokens);
+        // A part may have become a suspect while the request waited.
+        call.parts.admit()?;
         self.metrics.record_attempt(&call.service);
         self.fleet.unreported.set(true);
-        Ok(SlotGuard::new(
-            self.fleet.clone(),
-            upstream,
-            call.prompt_tokens,
-        ))
+        Ok(slot.with_witness(call.parts.witness()))
     }
 
     /// Sends the request to the upstream of `slot` and waits for the head of the answer: as long as
@@ -379,6 +386,9 @@
             }
             AttemptFailure::MayHaveRun(reason) => {
                 self.record_crash(call, reason, sent);
+                if !call.parts.is_clear() {
+                    return RetryDecision::Refuse(RefusalReason::Broken);
+                }
                 RefusalReason::Broken
             }
         };
@@ -465,7 +475,7 @@
         last: Option<u64>,
     ) -> Option<OpenStream> {
         while tried.len() < call.route.max_attempts as usize {
-            if !self.try_take_retry(call, Instant::now()) {
+            if !call.parts.is_clear() || !self.try_take_retry(call, Instant::now()) {
                 return None;
             }
             let slot = self.acquire_slot(call, tried).await.ok()?;
@@ -485,6 +495,7 @@
                 continue;
             }
             if let Ok(stream) = stream::open_stream(answer, after, wait_limit).await {
+                call.parts.end_trial();
                 return Some(stream);
             }
         }
@@ -515,6 +526,9 @@
         let body = match buffered {
             Ok(Ok(buffered)) => buffered,
             Ok(Err(err)) => {
+                if matches!(err, BufferError::Broken(_)) {
+                    slot.record_break();
+                }
                 slot.set_outcome(SendOutcome::Failed);
                 let (request, upstream) = (&call.request.id, slot.upstream());
                 log::info!(request, upstream, err:%; "answer broke off");
@@ -522,6 +536,9 @@
             }
             Err(_) => return Err(AttemptFailure::TimeUp),
         };
+        if parts.status.is_success() {
+            slot.answer_started();
+        }
         let retryable = parts.status.is_server_error() && call.route.kind.is_retryable();
         if retryable && first && call.route.max_attempts > 1 && self.has_other_upstream(call) {
             return Err(AttemptFailure::MayHaveRun("upstream failed"));
--- a/crates/agatepin/src/relay/daemon.rs
+++ b/crates/agatepin/src/relay/daemon.rs
@@ -171,6 +171,7 @@
     };
     actix_rt::spawn(broadcaster.clone().report_requests());
     actix_rt::spawn(broadcaster.clone().report_engines());
+    actix_rt::spawn(broadcaster.clone().report_parts());
     actix_rt::spawn(broadcaster.clone().run());
     actix_rt::spawn(register_entry(
         store.clone(),
--- a/crates/agatepin/src/relay/datagram.rs
+++ b/crates/agatepin/src/relay/datagram.rs
@@ -16,6 +16,7 @@
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
+use crate::relay::part_news::EntryParts;
 use crate::relay::ports::MirrorTable;
 
 /// Largest datagram that is received, in bytes.
@@ -53,7 +54,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Datagram {
     /// Content; none if its kind is unknown.
-    #[prost(oneof = "DatagramBody", tags = "1, 2, 3, 4, 5")]
+    #[prost(oneof = "DatagramBody", tags = "1, 2, 3, 4, 5, 6")]
     pub body: Option<DatagramBody>,
 }
 
@@ -75,6 +76,9 @@
     /// Load of all engines of a region, from an entry there to entries of other regions.
     #[prost(message, tag = "5")]
     Engines(RegionEngines),
+    /// Evidence on parts of prompts whose requests crash upstreams, from an entry to other entries.
+    #[prost(message, tag = "6")]
+    Parts(EntryParts),
 }
 
 /// Load of the engines of a region, as known to an entry there.
--- a/crates/agatepin/src/relay/datagram_handler.rs
+++ b/crates/agatepin/src/relay/datagram_handler.rs
@@ -6,12 +6,15 @@
 
 use agatepin_core::ids::ContentDigest;
 use agatepin_core::poison::SuspectKey;
+use agatepin_core::relay::part_tracker::PartNews;
 use agatepin_core::relay::upstreams::{EngineReport, EntryLoad};
 
 use crate::relay::datagram::{
     DatagramBody, EngineLoad, EntryHeartbeat, EntryRequests, RegionEngines,
 };
 use crate::relay::fleet::{AgentState, FleetHandle};
+use crate::relay::part_news::{EntryParts, MAX_PARTS_PER_DATAGRAM};
+use crate::relay::part_watch::change_parts;
 
 /// Applies the datagram `body`, sent by the daemon at `from`, to the state of an entry in `region`.
 pub fn handle_datagram(fleet: &FleetHandle, region: &str, from: SocketAddr, body: DatagramBody) {
@@ -20,6 +23,7 @@
         DatagramBody::Load(load) => apply_load(fleet, from, load),
         DatagramBody::Requests(requests) => apply_requests(fleet, requests),
         DatagramBody::Engines(engines) => apply_engines(fleet, region, &engines),
+        DatagramBody::Parts(parts) => apply_parts(fleet, from, parts),
         // Rosters are meant for agents.
         DatagramBody::Roster(_) => {}
     }
@@ -134,3 +138,20 @@
     });
     fleet.slot_freed.notify_one();
 }
+
+/// Applies the evidence of the entry at `from` on parts of prompts. That entry is told of parts that
+/// it suspects although this entry knows that they are sound.
+fn apply_parts(fleet: &FleetHandle, from: SocketAddr, news: EntryParts) {
+    let now = Instant::now();
+    for record in news.parts.into_iter().take(MAX_PARTS_PER_DATAGRAM) {
+        let news = PartNews::from(record);
+        let key = news.key.clone();
+        if !change_parts(fleet, |parts| parts.merge(news, now)) {
+            continue;
+        }
+        fleet.with(|fleet| {
+            fleet.part_replies.entry(from).or_default().insert(key);
+            fleet.parts_due.notify_one();
+        });
+    }
+}
--- a/crates/agatepin/src/relay/fleet.rs
+++ b/crates/agatepin/src/relay/fleet.rs
@@ -1,7 +1,7 @@
 //! State of the fleet as one entry knows it, shared by all tasks of the entry.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -11,6 +11,8 @@
 use agatepin_core::relay::catalog::{RouteCatalog, WeightsVersion};
 use agatepin_core::relay::client_timeout::{ClientTimeouts, RefusedRequests};
 use agatepin_core::relay::liveness::EntryDirectory;
+use agatepin_core::relay::part_evidence::PartKey;
+use agatepin_core::relay::part_tracker::PartTracker;
 use agatepin_core::relay::rate_share::{ColdRateShare, RetryLimit, RetryShare};
 use agatepin_core::relay::readers::ReaderDirectory;
 use agatepin_core::relay::schedule::WeightsSchedule;
@@ -59,6 +61,13 @@
     pub refusals: RefusedRequests,
     /// Suspects: requests that crashed upstreams, with identifiers of the crashes.
     pub suspects: SuspectTracker,
+    /// Evidence on parts of prompts whose requests crash upstreams.
+    pub parts: PartTracker,
+    /// Parts that another entry suspects although this one knows that they are sound, by its overlay
+    /// address.
+    pub part_replies: BTreeMap<SocketAddr, BTreeSet<PartKey>>,
+    /// Wakes the broadcaster to tell other entries of parts at once.
+    pub parts_due: Rc<Notify>,
     /// A graceful shutdown has begun.
     pub leaving: bool,
     /// Wakes the broadcaster, to send heartbeats and rosters without waiting for the next interval.
@@ -104,6 +113,9 @@
             client_timeouts: ClientTimeouts::default(),
             refusals: RefusedRequests::default(),
             suspects: SuspectTracker::new(SUSPECT_RETENTION),
+            parts: PartTracker::default(),
+            part_replies: BTreeMap::new(),
+            parts_due: Rc::default(),
             leaving: false,
             heartbeat_due: Rc::default(),
             table_copies: ReaderDirectory::default(),
--- a/crates/agatepin/src/relay/mod.rs
+++ b/crates/agatepin/src/relay/mod.rs
@@ -21,6 +21,8 @@
 pub mod metrics;
 pub mod mirror;
 pub mod overlay;
+pub mod part_news;
+pub mod part_watch;
 pub mod ports;
 pub mod refusal;
 pub mod server;
--- a/crates/agatepin/src/relay/ports.rs
+++ b/crates/agatepin/src/relay/ports.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use agatepin_core::ids::{CustomerId, DataCentreId, ModelId, RegionId, UpstreamId};
+use agatepin_core::ids::{CustomerId, DataCentreId, ModelId, PartId, RegionId, UpstreamId};
 use agatepin_core::relay::catalog::{CatalogSpec, WeightsVersion};
 use agatepin_core::relay::upstreams::{EngineReport, UpstreamListing};
 use bytes::Bytes;
@@ -114,6 +114,8 @@
         pub last_event: Option<u64>,
         /// Number of tokens in the prompt; 0 if not stated.
         pub prompt_tokens: u32,
+        /// Parts of the prompt in order, without the last, which no other request shares.
+        pub parts: Vec<PartId>,
     }
 
     /// Data that an entry adds to the head of a forwarded request.
--- a/crates/agatepin/src/relay/refusal.rs
+++ b/crates/agatepin/src/relay/refusal.rs
@@ -34,6 +34,11 @@
         HeldOff(Duration),
         /// The same request crashed upstreams before.
         Suspect,
+        /// A part of the prompt is suspected to crash upstreams, and another request with it is running
+        /// as a trial.
+        SuspectPart,
+        /// Requests with a part of the prompt crashed upstreams before.
+        CrashingPart,
         /// The upstream reported that it did not run the request.
         NotRun,
         /// The upstream's answer broke off; the request may have run.
@@ -45,8 +50,8 @@
     }
 }
 
-/// `Retry-After` of a request that was refused because its service is full, or because it crashed
-/// upstreams: about the time that an engine needs for one answer.
+/// `Retry-After` of a request that was refused because its service is full, or because it or a part
+/// of its prompt crashed upstreams: about the time that an engine needs for one answer.
 const FULL_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// `Retry-After` of all other refusals that a caller may retry.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(150);
@@ -67,6 +72,8 @@
             Self::NoUpstream => "no_upstream",
             Self::HeldOff(_) => "held_off",
             Self::Suspect => "suspect",
+            Self::SuspectPart => "suspect_part",
+            Self::CrashingPart => "crashing_part",
             Self::NotRun => "not_run",
             Self::Broken => "broken",
             Self::TimeUp => "time_up",
@@ -91,6 +98,8 @@
             | Self::NoUpstream
             | Self::HeldOff(_)
             | Self::Suspect
+            | Self::SuspectPart
+            | Self::CrashingPart
             | Self::NotRun
             | Self::TimeUpUnsent => StatusCode::SERVICE_UNAVAILABLE,
         }
@@ -99,7 +108,9 @@
     /// Time after which the caller may retry; none if a retry would not help.
     fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::Full | Self::Suspect => Some(FULL_RETRY_AFTER),
+            Self::Full | Self::Suspect | Self::SuspectPart | Self::CrashingPart => {
+                Some(FULL_RETRY_AFTER)
+            }
             Self::HeldOff(left) => Some(left.max(DEFAULT_RETRY_AFTER)),
             Self::NoConfig | Self::NoUpstream | Self::NotRun | Self::TimeUpUnsent => {
                 Some(DEFAULT_RETRY_AFTER)
--- a/crates/agatepin/src/relay/server.rs
+++ b/crates/agatepin/src/relay/server.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use agatepin_core::relay::liveness::EntryListing;
+use agatepin_core::relay::part_evidence::{PartEvidence, PartKey};
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
@@ -14,7 +15,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -23,6 +24,7 @@
 use crate::relay::body::ReplyBody;
 use crate::relay::fleet::{FleetHandle, FleetState};
 use crate::relay::metrics::RelayMetrics;
+use crate::relay::part_watch::state_name;
 use crate::relay::ports::WireDialect;
 
 /// Time for which callers may cache the addresses of entries in an answer of the directory.
@@ -207,6 +209,8 @@
             "named": announced.collect::<Vec<_>>(),
         })
     });
+    let suspects = fleet.parts.suspects(now).into_iter();
+    let parts = suspects.map(|(key, evidence)| dump_part(key, evidence, now));
     let state = json!({
         "entry": own,
         "leaving": fleet.leaving,
@@ -216,10 +220,28 @@
         "agents": fleet.agents.len(),
         "weights": weights.collect::<Vec<_>>(),
         "upstreams": upstreams.collect::<Vec<_>>(),
+        "suspect_parts": parts.collect::<Vec<_>>(),
     });
     state.to_string()
 }
 
+/// Encodes what is known of a part of prompts whose requests crashed upstreams.
+fn dump_part(key: &PartKey, evidence: &PartEvidence, now: Instant) -> Value {
+    let age = |at: Instant| now.saturating_duration_since(at).as_secs_f64();
+    let crashes = evidence.crashes().iter().map(|(id, crash)| {
+        json!({
+            "upstream": id.upstream, "born": id.born, "sole": crash.sole,
+            "sent_age_s": age(crash.sent), "age_s": age(crash.noticed),
+        })
+    });
+    json!({
+        "service": key.service, "part": key.part, "state": state_name(evidence.state(now)),
+        "waves": evidence.waves(now), "on_trial": evidence.is_on_trial(now),
+        "crashes": crashes.collect::<Vec<_>>(),
+        "first_event_age_s": evidence.first_event().map(age),
+    })
+}
+
 /// Builds an answer with this status and no body.
 fn empty_answer(status: StatusCode) -> Response<ReplyBody> {
     let mut response = Response::new(ReplyBody::from(Bytes::new()));
--- a/crates/agatepin/src/relay/stream.rs
+++ b/crates/agatepin/src/relay/stream.rs
@@ -77,7 +77,12 @@
             return Ok(stream);
         }
         Ok(StreamStep::End) => return Ok(stream),
-        Ok(StreamStep::Broken(reason)) => reason,
+        Ok(StreamStep::Broken(reason)) => {
+            if matches!(reason, "connection broke" | "ended within an event") {
+                stream.slot.record_break();
+            }
+            reason
+        }
         Err(_) => "no event in time",
     };
     stream.slot.set_outcome(SendOutcome::Failed);
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -16,6 +16,8 @@
 pub type UpstreamId = String;
 /// Name of a service. A plain service is one whose upstreams hold no model weights.
 pub type ServiceId = String;
+/// Id of a part of prompts that requests share.
+pub type PartId = String;
 /// Name of a customer.
 pub type CustomerId = String;
 /// Sequence number of a committed configuration; 0 before the first commit.
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -7,6 +7,8 @@
 pub mod events;
 pub mod liveness;
 pub mod notices;
+pub mod part_evidence;
+pub mod part_tracker;
 pub mod piece_fetch;
 pub mod rate_share;
 pub mod readers;
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -8,6 +8,7 @@
     pub mod fleet_model;
     pub mod liveness;
     pub mod notices;
+    pub mod parts;
     pub mod piece_fetch;
     pub mod rate_share;
     pub mod readers;
