--- a/crates/agatepin/src/relay/call.rs
+++ b/crates/agatepin/src/relay/call.rs
@@ -9,8 +9,7 @@
 use agatepin_core::poison::{SuspectAdmission, SuspectKey};
 use agatepin_core::relay::catalog::{LookupError, RouteSpec};
 use agatepin_core::relay::upstreams::SendOutcome;
-use hyper::body::{Body, Incoming};
-use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::header::CONTENT_LENGTH;
 use hyper::http::HeaderMap;
 use hyper::{Method, Request, Response, StatusCode};
 use tokio::sync::mpsc;
@@ -19,7 +18,7 @@
 
 use crate::relay::access_log::AccessRecord;
 use crate::relay::admit::{AdmissionCriteria, EntryIdentity, admit};
-use crate::relay::answer_buffer::AnswerBuffers;
+use crate::relay::answer_buffer::{AnswerBuffers, BufferError};
 use crate::relay::attempt::{AttemptFailure, ForwardedRequest, OpenAnswer, SlotGuard, send_once};
 use crate::relay::body::{BODY_QUEUE_PARTS, ReplyBody};
 use crate::relay::caller_body::CallerBody;
@@ -29,6 +28,7 @@
     request_hash, request_host,
 };
 use crate::relay::metrics::RelayMetrics;
+use crate::relay::part_watch::PartWatch;
 use crate::relay::ports::{TableStore, WireDialect};
 use crate::relay::refusal::{self, RefusalReason};
 use crate::relay::stream::{self, EmptyAnswer, OpenStream, StreamResume};
@@ -67,6 +67,8 @@
     /// Customer and digest of path and body: the key under which upstreams' crashes that this request
     /// may have caused are counted.
     suspect: SuspectKey,
+    /// Parts of the prompt, whose requests may crash upstreams.
+    parts: PartWatch,
 }
 
 /// Relays callers' requests to upstreams.
@@ -218,6 +220,7 @@
             allowed_regions: customer
                 .map(|customer| customer.home_regions.clone())
                 .unwrap_or_default(),
+            parts: PartWatch::new(self.fleet.clone(), &service, head.parts),
             service,
             route,
             started,
@@ -245,6 +248,9 @@
         if admission == SuspectAdmission::Refuse {
             return refuse(record, RefusalReason::Suspect);
         }
+        if let Err(reason) = call.parts.admit() {
+            return self.refuse_not_run(&call, record, reason);
+        }
         // Upstreams of all attempts, and the number of attempts without a connection.
         let mut tried = Vec::new();
         let mut unreachable = 0;
@@ -271,6 +277,7 @@
             let failure = match answered {
                 Ok(ForwardedAnswer::Stream(stream, head)) => {
                     tried.push(upstream);
+                    call.parts.end_trial();
                     return self.forward_stream(call, record, tried, *stream, &head);
                 }
                 Ok(ForwardedAnswer::Whole(response)) => {
@@ -362,13 +369,12 @@
             return Err(RefusalReason::TimeUpUnsent);
         }
         let upstream = admit(&self.fleet, &self.identity, &criteria).await?;
+        let slot = SlotGuard::new(self.fleet.clone(), upstream, call.prompt_tokens);
+        // A part may have become a suspect while the request waited.
+        call.parts.admit()?;
         self.metrics.record_attempt(&call.service);
         self.fleet.unreported.set(true);
-        Ok(SlotGuard::new(
-            self.fleet.clone(),
-            upstream,
-            call.prompt_tokens,
-        ))
+        Ok(slot.with_witness(call.parts.witness()))
     }
 
     /// Sends the request to the upstream of `slot` and waits for the head of the answer: as long as
@@ -423,6 +429,9 @@
             }
             AttemptFailure::MayHaveRun(reason) => {
                 self.record_crash(call, reason, sent);
+                if !call.parts.is_clear() {
+                    return RetryDecision::Refuse(RefusalReason::Broken);
+                }
                 RefusalReason::Broken
             }
         };
@@ -469,7 +478,7 @@
             .saturating_duration_since(Instant::now());
         let wait_limit = self.first_event_timeout(&answer.slot, left);
         // A caller that has all events of a stream asks for a rest that is empty.
-        let empty = if call.last_event.is_some() && has_marked_end(&answer.response) {
+        let empty = if call.last_event.is_some() && stream::has_marked_end(&answer.response) {
             EmptyAnswer::Complete
         } else {
             EmptyAnswer::Broken
@@ -515,7 +524,7 @@
         last: Option<u64>,
     ) -> Option<OpenStream> {
         while tried.len() < call.route.max_attempts as usize {
-            if !self.try_take_retry(call, Instant::now()) {
+            if !call.parts.is_clear() || !self.try_take_retry(call, Instant::now()) {
                 return None;
             }
             let slot = self.acquire_slot(call, tried).await.ok()?;
@@ -537,6 +546,7 @@
             // Without an event, nothing shows that the caller has the whole stream.
             let opened = stream::open_stream(answer, after, wait_limit, EmptyAnswer::Broken);
             if let Ok(stream) = opened.await {
+                call.parts.end_trial();
                 return Some(stream);
             }
         }
@@ -567,6 +577,9 @@
         let body = match buffered {
             Ok(Ok(buffered)) => buffered,
             Ok(Err(err)) => {
+                if matches!(err, BufferError::Broken(_)) {
+                    slot.record_break();
+                }
                 slot.set_outcome(SendOutcome::Failed);
                 let (request, upstream) = (&call.request.id, slot.upstream());
                 log::info!(request, upstream, err:%; "answer broke off");
@@ -574,6 +587,9 @@
             }
             Err(_) => return Err(AttemptFailure::TimeUp),
         };
+        if parts.status.is_success() {
+            slot.answer_started();
+        }
         let retryable = parts.status.is_server_error() && call.route.kind.is_retryable();
         if retryable && first && call.route.max_attempts > 1 && self.has_other_upstream(call) {
             return Err(AttemptFailure::MayHaveRun("upstream failed"));
@@ -605,13 +621,6 @@
     call.route.kind.is_stream() && status.is_success() && has_body
 }
 
-/// Whether the end of an answer's body is marked by a length or a last chunk, and not only by the end
-/// of its connection.
-fn has_marked_end(answer: &Response<Incoming>) -> bool {
-    let is_chunked = answer.headers().contains_key(TRANSFER_ENCODING);
-    is_chunked || answer.body().size_hint().exact().is_some()
-}
-
 /// Records a refusal in the access log record and builds the answer for the caller.
 fn refuse(mut record: AccessRecord, reason: RefusalReason) -> Response<ReplyBody> {
     record.record_head(reason.status().as_u16(), reason.code());
--- a/crates/agatepin/src/relay/stream.rs
+++ b/crates/agatepin/src/relay/stream.rs
@@ -8,7 +8,9 @@
 use agatepin_core::relay::upstreams::SendOutcome;
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::Response;
+use hyper::body::{Body, Incoming};
+use hyper::header::TRANSFER_ENCODING;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
@@ -60,6 +62,14 @@
     Broken(&'static str),
 }
 
+/// Whether the end of an answer's body is marked by a length or a last chunk, and not only by the end
+/// of its connection.
+#[must_use]
+pub fn has_marked_end(answer: &Response<Incoming>) -> bool {
+    let is_chunked = answer.headers().contains_key(TRANSFER_ENCODING);
+    is_chunked || answer.body().size_hint().exact().is_some()
+}
+
 /// Waits up to `wait_limit` for the first complete event after `last_event`, the id of the last event
 /// that the caller has; without one, for the first event of the stream.
 ///
@@ -72,6 +82,7 @@
     wait_limit: Duration,
     empty: EmptyAnswer,
 ) -> Result<OpenStream, &'static str> {
+    let marked_end = has_marked_end(&answer.response);
     let mut stream = OpenStream {
         first: EventBatch {
             bytes: Bytes::new(),
@@ -90,8 +101,19 @@
             return Ok(stream);
         }
         Ok(StreamStep::End) if empty == EmptyAnswer::Complete => return Ok(stream),
-        Ok(StreamStep::End) => "no event",
-        Ok(StreamStep::Broken(reason)) => reason,
+        Ok(StreamStep::End) => {
+            // Without a mark of its end, an answer that broke off looks the same.
+            if !marked_end {
+                stream.slot.record_break();
+            }
+            "no event"
+        }
+        Ok(StreamStep::Broken(reason)) => {
+            if matches!(reason, "connection broke" | "ended within an event") {
+                stream.slot.record_break();
+            }
+            reason
+        }
         Err(_) => "no event in time",
     };
     stream.slot.set_outcome(SendOutcome::Failed);
