Connections that wait when an entry stops to listen are served

What callers saw: a connection that was established shortly before the entry closed its listener was reset, although its request had been sent.

Cause: closing a listener resets the connections that wait to be accepted, and the shutdown did not wait for the task that accepts them.

Change: the server accepts what waits before it closes the listener, and counts among the connections that the shutdown waits for.

--- a/crates/agatepin/src/relay/daemon.rs
+++ b/crates/agatepin/src/relay/daemon.rs
@@ -78,7 +78,7 @@
     closing: CancellationToken,
     /// Cancelled when callers' connections are to be closed after the answer in progress.
     leaving: CancellationToken,
-    /// Open connections of callers.
+    /// Open connections of callers, and the task that accepts them.
     connections: TaskTracker,
     /// Sends a last heartbeat when the shutdown begins.
     broadcaster: StateBroadcaster<Store, Dialect>,
@@ -124,7 +124,8 @@
         identity.clone(),
         metrics.clone(),
     );
-    actix_rt::spawn(caller_server(front).run(move |request| relay.clone().answer(request)));
+    let serving = caller_server(front).run(move |request| relay.clone().answer(request));
+    actix_rt::spawn(connections.track_future(serving));
     let handler = Rc::new(DirectoryHandler {
         dialect: dialect.clone(),
         fleet: fleet.clone(),
--- a/crates/agatepin/src/relay/server.rs
+++ b/crates/agatepin/src/relay/server.rs
@@ -47,35 +47,49 @@
 }
 
 impl HttpServer {
-    /// Accepts connections and answers their requests by `answer`, until `closing` is cancelled.
+    /// Accepts connections and answers their requests by `answer`, until `closing` is cancelled. The
+    /// connections that wait to be accepted then are still served.
     pub async fn run<Answer, Answering>(self, answer: Answer)
     where
         Answer: Fn(Request<Incoming>) -> Answering + Clone + 'static,
         Answering: Future<Output = Response<ReplyBody>> + 'static,
     {
+        let Self {
+            listener,
+            closing,
+            leaving,
+            connections,
+        } = self;
+        let spawn_serve = |stream| {
+            let connection = serve(stream, leaving.clone(), answer.clone());
+            actix_rt::spawn(connections.track_future(connection));
+        };
         loop {
             let accepted = tokio::select! {
-                accepted = self.listener.accept() => accepted,
-                () = self.closing.cancelled() => return,
+                accepted = listener.accept() => accepted,
+                () = closing.cancelled() => break,
             };
-            let stream = match accepted {
-                Ok((stream, _)) => stream,
+            match accepted {
+                Ok((stream, _)) => spawn_serve(stream),
                 Err(err) => {
                     log::warn!(err:%; "accept of an HTTP connection failed");
                     tokio::time::sleep(ACCEPT_PAUSE).await;
-                    continue;
                 }
-            };
-            let answer = answer.clone();
-            let leaving = self.leaving.clone();
-            let connection = self
-                .connections
-                .track_future(serve(stream, leaving, answer));
-            actix_rt::spawn(connection);
+            }
         }
+        waiting_connections(listener).for_each(spawn_serve);
     }
 }
 
+/// Accepts the connections that wait at `listener`, which would be reset when it is closed.
+fn waiting_connections(listener: TcpListener) -> impl Iterator<Item = TcpStream> {
+    let listener = listener.into_std().ok();
+    std::iter::from_fn(move || listener.as_ref()?.accept().ok()).filter_map(|(stream, _)| {
+        stream.set_nonblocking(true).ok()?;
+        TcpStream::from_std(stream).ok()
+    })
+}
+
 /// Serves one connection until it ends or, once `leaving` is cancelled, until the answer in
 /// progress is sent.
 async fn serve<Answer, Answering>(stream: TcpStream, leaving: CancellationToken, answer: Answer)
