Kept connections are used while callers may have the address cached

What callers saw: a request that reached a kept connection at the moment of a shutdown was cut with it, without an answer.

Cause: idle connections were closed at the beginning of the shutdown, also those whose next request was in the socket's buffer.

Change: from then on each answer is the last one of its connection and says so. Idle connections are closed when the listener is, after what has arrived on them was read.

--- a/crates/agatepin/src/relay/daemon.rs
+++ b/crates/agatepin/src/relay/daemon.rs
@@ -74,9 +74,9 @@
     name: String,
     /// Time from SIGTERM until the process must have exited.
     grace: Duration,
-    /// Cancelled when no new connections of callers are accepted any more.
+    /// Cancelled when no new connections of callers are accepted any more, and idle ones are closed.
     closing: CancellationToken,
-    /// Cancelled when callers' connections are to be closed after the answer in progress.
+    /// Cancelled when callers' connections are to be closed after their next answer.
     leaving: CancellationToken,
     /// Open connections of callers, and the task that accepts them.
     connections: TaskTracker,
@@ -202,8 +202,8 @@
     Dialect: WireDialect,
 {
     /// Shuts down gracefully and returns when all connections have ended or the grace period is
-    /// over. The entry leaves the directory at once, connections are closed after the answer in
-    /// progress, and new ones are accepted as long as callers may still have the address cached.
+    /// over. The entry leaves the directory at once, connections are closed after their next
+    /// answer, and new ones are accepted as long as callers may still have the address cached.
     /// Requests that are in progress shortly before the end of the grace period are ended, each with
     /// an answer.
     pub async fn leave(self) {
--- a/crates/agatepin/src/relay/server.rs
+++ b/crates/agatepin/src/relay/server.rs
@@ -9,7 +9,7 @@
 use agatepin_core::relay::liveness::EntryListing;
 use bytes::Bytes;
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -38,9 +38,9 @@
 pub struct HttpServer {
     /// Socket that connections are accepted from.
     pub listener: TcpListener,
-    /// Cancelled when no new connections are accepted any more.
+    /// Cancelled when no new connections are accepted any more, and idle ones are closed.
     pub closing: CancellationToken,
-    /// Cancelled when connections are to be closed after the answer in progress.
+    /// Cancelled when connections are to be closed after their next answer.
     pub leaving: CancellationToken,
     /// Tracks the open connections.
     pub connections: TaskTracker,
@@ -61,7 +61,7 @@
             connections,
         } = self;
         let spawn_serve = |stream| {
-            let connection = serve(stream, leaving.clone(), answer.clone());
+            let connection = serve(stream, leaving.clone(), closing.clone(), answer.clone());
             actix_rt::spawn(connections.track_future(connection));
         };
         loop {
@@ -90,10 +90,14 @@
     })
 }
 
-/// Serves one connection until it ends or, once `leaving` is cancelled, until the answer in
-/// progress is sent.
-async fn serve<Answer, Answering>(stream: TcpStream, leaving: CancellationToken, answer: Answer)
-where
+/// Serves one connection until it ends. Once `leaving` is cancelled, its next answer is the last one;
+/// once `closing` is, it is closed if no request is in progress.
+async fn serve<Answer, Answering>(
+    stream: TcpStream,
+    leaving: CancellationToken,
+    closing: CancellationToken,
+    answer: Answer,
+) where
     Answer: Fn(Request<Incoming>) -> Answering,
     Answering: Future<Output = Response<ReplyBody>>,
 {
@@ -102,7 +106,15 @@
     }
     let service = service_fn(|request| {
         let answering = answer(request);
-        async move { Ok::<_, Infallible>(answering.await) }
+        let leaving = leaving.clone();
+        async move {
+            let mut response = answering.await;
+            if leaving.is_cancelled() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response)
+        }
     });
     // A connection that is accepted during the shutdown still has its first request answered.
     let is_last = leaving.is_cancelled();
@@ -114,8 +126,10 @@
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let ended = tokio::select! {
+        // A request that has arrived is read before its connection counts as idle.
+        biased;
         ended = connection.as_mut() => ended,
-        () = leaving.cancelled(), if !is_last => {
+        () = closing.cancelled(), if !is_last => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
