--- a/crates/agatepin/src/relay/daemon.rs
+++ b/crates/agatepin/src/relay/daemon.rs
@@ -74,11 +74,11 @@
     name: String,
     /// Time from SIGTERM until the process must have exited.
     grace: Duration,
-    /// Cancelled when no new connections of callers are accepted any more.
+    /// Cancelled when no new connections of callers are accepted any more, and idle ones are closed.
     closing: CancellationToken,
-    /// Cancelled when callers' connections are to be closed after the answer in progress.
+    /// Cancelled when callers' connections are to be closed after their next answer.
     leaving: CancellationToken,
-    /// Open connections of callers.
+    /// Open connections of callers, and the task that accepts them.
     connections: TaskTracker,
     /// Sends a last heartbeat when the shutdown begins.
     broadcaster: StateBroadcaster<Store, Dialect>,
@@ -124,7 +124,8 @@
         identity.clone(),
         metrics.clone(),
     );
-    actix_rt::spawn(caller_server(front).run(move |request| relay.clone().answer(request)));
+    let serving = caller_server(front).run(move |request| relay.clone().answer(request));
+    actix_rt::spawn(connections.track_future(serving));
     let handler = Rc::new(DirectoryHandler {
         dialect: dialect.clone(),
         fleet: fleet.clone(),
@@ -202,8 +203,8 @@
     Dialect: WireDialect,
 {
     /// Shuts down gracefully and returns when all connections have ended or the grace period is
-    /// over. The entry leaves the directory at once, connections are closed after the answer in
-    /// progress, and new ones are accepted as long as callers may still have the address cached.
+    /// over. The entry leaves the directory at once, connections are closed after their next
+    /// answer, and new ones are accepted as long as callers may still have the address cached.
     /// Requests that are in progress shortly before the end of the grace period are ended, each with
     /// an answer.
     pub async fn leave(self) {
--- a/crates/agatepin/src/relay/server.rs
+++ b/crates/agatepin/src/relay/server.rs
@@ -44,48 +44,66 @@
 pub struct HttpServer {
     /// Socket that connections are accepted from.
     pub listener: TcpListener,
-    /// Cancelled when no new connections are accepted any more.
+    /// Cancelled when no new connections are accepted any more, and idle ones are closed.
     pub closing: CancellationToken,
-    /// Cancelled when connections are to be closed after the answer in progress.
+    /// Cancelled when connections are to be closed after their next answer.
     pub leaving: CancellationToken,
     /// Tracks the open connections.
     pub connections: TaskTracker,
 }
 
 impl HttpServer {
-    /// Accepts connections and answers their requests by `answer`, until `closing` is cancelled.
+    /// Accepts connections and answers their requests by `answer`, until `closing` is cancelled. The
+    /// connections that wait to be accepted then are still served.
     pub async fn run<Answer, Answering>(self, answer: Answer)
     where
         Answer: Fn(Request<CallerBody>) -> Answering + Clone + 'static,
         Answering: Future<Output = Response<ReplyBody>> + 'static,
     {
+        let Self {
+            listener,
+            closing,
+            leaving,
+            connections,
+        } = self;
+        let spawn_serve = |stream| {
+            let connection = serve(stream, leaving.clone(), closing.clone(), answer.clone());
+            actix_rt::spawn(connections.track_future(connection));
+        };
         loop {
             let accepted = tokio::select! {
-                accepted = self.listener.accept() => accepted,
-                () = self.closing.cancelled() => return,
+                accepted = listener.accept() => accepted,
+                () = closing.cancelled() => break,
             };
-            let stream = match accepted {
-                Ok((stream, _)) => stream,
+            match accepted {
+                Ok((stream, _)) => spawn_serve(stream),
                 Err(err) => {
                     log::warn!(err:%; "accept of an HTTP connection failed");
                     tokio::time::sleep(ACCEPT_PAUSE).await;
-                    continue;
                 }
-            };
-            let answer = answer.clone();
-            let leaving = self.leaving.clone();
-            let connection = self
-                .connections
-                .track_future(serve(stream, leaving, answer));
-            actix_rt::spawn(connection);
+            }
         }
+        waiting_connections(listener).for_each(spawn_serve);
     }
 }
 
-/// Serves one connection until it ends or, once `leaving` is cancelled, until the answer in
-/// progress is sent.
-async fn serve<Answer, Answering>(stream: TcpStream, leaving: CancellationToken, answer: Answer)
-where
+/// Accepts the connections that wait at `listener`, which would be reset when it is closed.
+fn waiting_connections(listener: TcpListener) -> impl Iterator<Item = TcpStream> {
+    let listener = listener.into_std().ok();
+    std::iter::from_fn(move || listener.as_ref()?.accept().ok()).filter_map(|(stream, _)| {
+        stream.set_nonblocking(true).ok()?;
+        TcpStream::from_std(stream).ok()
+    })
+}
+
+/// Serves one connection until it ends. Once `leaving` is cancelled, its next answer is the last one;
+/// once `closing` is, it is closed if no request is in progress.
+async fn serve<Answer, Answering>(
+    stream: TcpStream,
+    leaving: CancellationToken,
+    closing: CancellationToken,
+    answer: Answer,
+) where
     Answer: Fn(Request<CallerBody>) -> Answering,
     Answering: Future<Output = Response<ReplyBody>>,
 {
@@ -95,10 +113,10 @@
     let (unread, discarder) = UnreadInput::channel();
     let service = service_fn(|request| {
         let answering = answer(unread.watch(request));
-        let unread = unread.clone();
+        let (unread, leaving) = (unread.clone(), leaving.clone());
         async move {
             let mut response = answering.await;
-            if unread.must_close() {
+            if unread.must_close() || leaving.is_cancelled() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
@@ -115,8 +133,10 @@
         .serve_connection(TokioIo::new(stream), service);
     let serving = async {
         tokio::select! {
+            // A request that has arrived is read before its connection counts as idle.
+            biased;
             ended = &mut connection => ended,
-            () = leaving.cancelled(), if !is_last => {
+            () = closing.cancelled(), if !is_last => {
                 std::pin::Pin::new(&mut connection).graceful_shutdown();
                 (&mut connection).await
             }
