Events received before a missing one are forwarded

What callers saw: a stream without one of its events that looked complete.

Cause: where the same read held good events and then showed that the stream could not go on (an event missing, or bytes that are too many), the good events were dropped, but counted as forwarded, and the stream was resumed after them.

Change: events before an error are forwarded first, and the error ends the upstream's stream at the next step.

--- a/crates/agatepin/src/relay/stream.rs
+++ b/crates/agatepin/src/relay/stream.rs
@@ -27,6 +27,9 @@
 /// Cause of a stream's end that is no fault of its upstream, so that it is not resumed.
 const TIME_UP: &str = "time_up";
 
+/// Cause of the end of a stream whose events cannot be forwarded.
+const BAD_EVENTS: &str = "event missing or too long";
+
 /// Stream of an upstream whose first events have arrived, or which ended without any.
 pub struct OpenStream {
     /// Events that were read but not forwarded yet.
@@ -101,6 +104,9 @@
 impl OpenStream {
     /// Reads until there is at least one complete event, or the stream ends or breaks.
     async fn step(&mut self) -> StreamStep {
+        if self.splitter.error().is_some() {
+            return StreamStep::Broken(BAD_EVENTS);
+        }
         for _ in 0..MAX_ANSWER_PARTS {
             let frame = match self.body.frame().await {
                 Some(Ok(frame)) => frame,
@@ -114,7 +120,7 @@
             match self.splitter.push(&data) {
                 Ok(batch) if batch.events > 0 => return StreamStep::Events(batch),
                 Ok(_) => {}
-                Err(_) => return StreamStep::Broken("event missing or too long"),
+                Err(_) => return StreamStep::Broken(BAD_EVENTS),
             }
         }
         StreamStep::Broken("event in too many parts")
--- a/crates/core/src/relay/events.rs
+++ b/crates/core/src/relay/events.rs
@@ -51,6 +51,8 @@
     last_forwarded: Option<EventId>,
     /// The stream goes on after `last_forwarded`, and its next event has not been received yet.
     awaits_next: bool,
+    /// Error that follows the events returned last; no more bytes are taken.
+    error: Option<EventError>,
 }
 
 impl EventSplitter {
@@ -74,7 +76,13 @@
     /// Whether no incomplete event is buffered.
     #[must_use]
     pub fn is_between_events(&self) -> bool {
-        self.buffer.is_empty()
+        self.buffer.is_empty() && self.error.is_none()
+    }
+
+    /// Error that the next call of [`Self::push`] returns.
+    #[must_use]
+    pub fn error(&self) -> Option<&EventError> {
+        self.error.as_ref()
     }
 
     /// Discards the incomplete event that a failed upstream left in the buffer.
@@ -90,11 +98,27 @@
     /// # Errors
     /// Returns [`EventError::Gap`] if an event id shows that events are missing, and
     /// [`EventError::TooLong`] or [`EventError::Unnumbered`] if the stream does not look as if another
-    /// numbered event would come.
+    /// numbered event would come. Complete events before the error are returned first.
     pub fn push(&mut self, data: &[u8]) -> Result<EventBatch, EventError> {
+        if let Some(error) = &self.error {
+            return Err(error.clone());
+        }
         self.buffer.extend_from_slice(data);
+        let mut batch = EventBatch {
+            bytes: Bytes::new(),
+            events: 0,
+        };
         let mut out = BytesMut::new();
-        let mut events = 0;
+        self.error = self.split(&mut out, &mut batch.events).err();
+        batch.bytes = out.freeze();
+        match &self.error {
+            Some(error) if batch.events == 0 => Err(error.clone()),
+            _ => Ok(batch),
+        }
+    }
+
+    /// Appends the complete events of the buffer to `out`, and adds their number to `events`.
+    fn split(&mut self, out: &mut BytesMut, events: &mut usize) -> Result<(), EventError> {
         while let Some(length) = self.event_length() {
             let event = self.buffer.split_to(length);
             self.reset_search();
@@ -120,15 +144,12 @@
             }
             self.last_forwarded = id.or(self.last_forwarded);
             out.extend_from_slice(&event);
-            events += 1;
+            *events += 1;
         }
         if self.buffer.len() > MAX_EVENT_BYTES {
             return Err(EventError::TooLong);
         }
-        Ok(EventBatch {
-            bytes: out.freeze(),
-            events,
-        })
+        Ok(())
     }
 
     /// Length of the first complete event, including the empty line that ends it. Bytes that were
--- a/crates/core/tests/relay/events.rs
+++ b/crates/core/tests/relay/events.rs
@@ -133,3 +133,17 @@
     }
     assert_eq!(parts, MAX_EVENT_BYTES / part.len());
 }
+
+/// Guards against events that are lost because an error follows them in the same bytes.
+#[test]
+fn events_before_an_error_are_returned_first() {
+    let mut splitter = EventSplitter::default();
+    let mut data = stream(1, 3);
+    data.extend_from_slice(&stream(5, 6));
+    assert_eq!(splitter.push(&data).unwrap().bytes, stream(1, 3));
+    assert_eq!(splitter.last(), Some(3));
+    assert!(!splitter.is_between_events());
+    let gap = EventError::Gap { after: 3, got: 5 };
+    assert_eq!(splitter.error(), Some(&gap));
+    assert_eq!(splitter.push(&stream(4, 4)), Err(gap));
+}
