Bytes between events that are no event break a stream off

What callers saw: the head and text of another answer in the middle of a stream, where its worker had sent them within the stream's body, and the stream went on or ended as complete after them.

Cause: whatever ended with an empty line was forwarded as an event without an id.

Change: such an event may only have empty lines, comments and fields with names in lower case; other bytes end the upstream's stream like a missing event.

--- a/crates/core/src/relay/events.rs
+++ b/crates/core/src/relay/events.rs
@@ -26,6 +26,8 @@
         TooLong,
         /// The events since the last one with an id are longer than [`MAX_UNNUMBERED_BYTES`].
         Unnumbered,
+        /// What was received between two events has a line that is no field of an event.
+        Malformed,
         /// One or more events are missing between two received ones.
         Gap {
             /// Id of the last event before the gap.
@@ -96,8 +98,8 @@
     /// nothing shows that they belong to the same stream.
     ///
     /// # Errors
-    /// Returns [`EventError::Gap`] if an event id shows that events are missing, and
-    /// [`EventError::TooLong`] or [`EventError::Unnumbered`] if the stream does not look as if another
+    /// Returns [`EventError::Gap`] if an event id shows that events are missing,
+    /// [`EventError::Malformed`] if an event without an id is none, and [`EventError::TooLong`] or [`EventError::Unnumbered`] if the stream does not look as if another
     /// numbered event would come. Complete events before the error are returned first.
     pub fn push(&mut self, data: &[u8]) -> Result<EventBatch, EventError> {
         if let Some(error) = &self.error {
@@ -142,6 +144,9 @@
             if self.awaits_next {
                 continue;
             }
+            if id.is_none() && !has_only_fields(&event) {
+                return Err(EventError::Malformed);
+            }
             self.last_forwarded = id.or(self.last_forwarded);
             out.extend_from_slice(&event);
             *events += 1;
@@ -177,6 +182,18 @@
     }
 }
 
+/// Whether each line of an event is empty, a comment, or a field with a name in lower case: the text or
+/// the head of another answer is not.
+fn has_only_fields(event: &[u8]) -> bool {
+    let is_name = |byte: &u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || *byte == b'-';
+    event.split(|byte| *byte == b'\n').all(|line| {
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        let mut parts = line.splitn(2, |byte| *byte == b':');
+        let name = parts.next().unwrap_or_default();
+        line.is_empty() || (parts.next().is_some() && name.iter().all(is_name))
+    })
+}
+
 /// Value of the event's `id` field, if it is a number.
 fn event_id(event: &[u8]) -> Option<EventId> {
     for line in event.split(|byte| *byte == b'\n') {
--- a/crates/core/tests/relay/events.rs
+++ b/crates/core/tests/relay/events.rs
@@ -85,6 +85,33 @@
     }
 }
 
+/// Guards against the head and text of another answer among the events of a stream.
+#[test]
+fn bytes_that_are_no_event_are_an_error() {
+    let head = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine";
+    for text in [
+        head,
+        "oops\n\n",
+        "{\"error\":\"oops\"}\n\n",
+        "\u{0}\r\n\r\n",
+    ] {
+        let mut splitter = EventSplitter::default();
+        splitter.push(&stream(1, 2)).unwrap();
+        let end = splitter.push(text.as_bytes());
+        assert_eq!(end, Err(EventError::Malformed), "{text:?}");
+    }
+    for text in [
+        ": ping\n\n",
+        "event: end\r\ndata:\r\n\r\n",
+        "some-counts: 3\n\n",
+    ] {
+        let mut splitter = EventSplitter::default();
+        splitter.push(&stream(1, 2)).unwrap();
+        let batch = splitter.push(text.as_bytes()).unwrap();
+        assert_eq!(batch.bytes, text.as_bytes());
+    }
+}
+
 #[test]
 fn an_incomplete_event_is_buffered() {
     let mut splitter = EventSplitter::default();
