--- a/crates/core/src/relay/events.rs
+++ b/crates/core/src/relay/events.rs
@@ -26,6 +26,8 @@
         TooLong,
         /// The events since the last one with an id are longer than [`MAX_UNNUMBERED_BYTES`].
         Unnumbered,
+        /// What was received between two events has a line that is no field of an event.
+        Malformed,
         /// One or more events are missing between two received ones.
         Gap {
             /// Id of the last event before the gap.
@@ -51,6 +53,8 @@
     last_forwarded: Option<EventId>,
     /// The stream goes on after `last_forwarded`, and its next event has not been received yet.
     awaits_next: bool,
+    /// Error that follows the events returned last; no more bytes are taken.
+    error: Option<EventError>,
 }
 
 impl EventSplitter {
@@ -74,7 +78,13 @@
     /// Whether no incomplete event is buffered.
     #[must_use]
     pub fn is_between_events(&self) -> bool {
-        self.buffer.is_empty()
+        self.buffer.is_empty() && self.error.is_none()
+    }
+
+    /// Error that the next call of [`Self::push`] returns.
+    #[must_use]
+    pub fn error(&self) -> Option<&EventError> {
+        self.error.as_ref()
     }
 
     /// Discards the incomplete event that a failed upstream left in the buffer.
@@ -88,13 +98,29 @@
     /// nothing shows that they belong to the same stream.
     ///
     /// # Errors
-    /// Returns [`EventError::Gap`] if an event id shows that events are missing, and
-    /// [`EventError::TooLong`] or [`EventError::Unnumbered`] if the stream does not look as if another
-    /// numbered event would come.
+    /// Returns [`EventError::Gap`] if an event id shows that events are missing,
+    /// [`EventError::Malformed`] if an event without an id is none, and [`EventError::TooLong`] or [`EventError::Unnumbered`] if the stream does not look as if another
+    /// numbered event would come. Complete events before the error are returned first.
     pub fn push(&mut self, data: &[u8]) -> Result<EventBatch, EventError> {
+        if let Some(error) = &self.error {
+            return Err(error.clone());
+        }
         self.buffer.extend_from_slice(data);
+        let mut batch = EventBatch {
+            bytes: Bytes::new(),
+            events: 0,
+        };
         let mut out = BytesMut::new();
-        let mut events = 0;
+        self.error = self.split(&mut out, &mut batch.events).err();
+        batch.bytes = out.freeze();
+        match &self.error {
+            Some(error) if batch.events == 0 => Err(error.clone()),
+            _ => Ok(batch),
+        }
+    }
+
+    /// Appends the complete events of the buffer to `out`, and adds their number to `events`.
+    fn split(&mut self, out: &mut BytesMut, events: &mut usize) -> Result<(), EventError> {
         while let Some(length) = self.event_length() {
             let event = self.buffer.split_to(length);
             self.reset_search();
@@ -118,17 +144,17 @@
             if self.awaits_next {
                 continue;
             }
+            if id.is_none() && !has_only_fields(&event) {
+                return Err(EventError::Malformed);
+            }
             self.last_forwarded = id.or(self.last_forwarded);
             out.extend_from_slice(&event);
-            events += 1;
+            *events += 1;
         }
         if self.buffer.len() > MAX_EVENT_BYTES {
             return Err(EventError::TooLong);
         }
-        Ok(EventBatch {
-            bytes: out.freeze(),
-            events,
-        })
+        Ok(())
     }
 
     /// Length of the first complete event, including the empty line that ends it. Bytes that were
@@ -156,6 +182,18 @@
     }
 }
 
+/// Whether each line of an event is empty, a comment, or a field with a name in lower case: the text or
+/// the head of another answer is not.
+fn has_only_fields(event: &[u8]) -> bool {
+    let is_name = |byte: &u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || *byte == b'-';
+    event.split(|byte| *byte == b'\n').all(|line| {
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        let mut parts = line.splitn(2, |byte| *byte == b':');
+        let name = parts.next().unwrap_or_default();
+        line.is_empty() || (parts.next().is_some() && name.iter().all(is_name))
+    })
+}
+
 /// Value of the event's `id` field, if it is a number.
 fn event_id(event: &[u8]) -> Option<EventId> {
     for line in event.split(|byte| *byte == b'\n') {
