A break of a request counts once for each life of an upstream

A sound request was refused with `suspect` after an upstream that lives on had broken off two of its attempts: the id of a crash was that of the attempt, so each break counted as a crash. It is the upstream and its start now, as for parts of prompts. The crashes of requests that are resumed count, too.

A request that crashes two upstreams is still refused.

--- a/crates/agatepin/src/relay/attempt.rs
+++ b/crates/agatepin/src/relay/attempt.rs
@@ -17,7 +17,7 @@
 use crate::relay::fleet::{FleetHandle, FleetState};
 use crate::relay::http_client::{self, ConnectionGuard, ExchangeError};
 use crate::relay::metrics::RelayMetrics;
-use crate::relay::part_watch::PartWitness;
+use crate::relay::part_watch::AttemptWitness;
 use crate::relay::ports::{AnswerHead, ForwardHead, UpstreamNotices, WireDialect};
 
 /// Timeout of the connection to an upstream: covers the longest round trip and a slow handshake.
@@ -122,7 +122,7 @@
     outcome: SendOutcome,
     /// Reports what the attempt shows of the parts of the request's prompt; none if nothing is to be
     /// reported.
-    witness: Option<PartWitness>,
+    witness: Option<AttemptWitness>,
 }
 
 impl SlotGuard {
@@ -141,7 +141,7 @@
 
     /// Lets `witness` report what the attempt shows of the parts of the request's prompt.
     #[must_use]
-    pub fn with_witness(mut self, witness: PartWitness) -> Self {
+    pub fn with_witness(mut self, witness: AttemptWitness) -> Self {
         self.witness = Some(witness);
         self
     }
--- a/crates/agatepin/src/relay/call.rs
+++ b/crates/agatepin/src/relay/call.rs
@@ -331,7 +331,11 @@
         call.parts.admit()?;
         self.metrics.record_attempt(&call.service);
         self.fleet.unreported.set(true);
-        Ok(slot.with_witness(call.parts.witness()))
+        let mut witness = call.parts.witness();
+        if call.route.kind.is_retryable() {
+            witness.suspect = Some(call.suspect.clone());
+        }
+        Ok(slot.with_witness(witness))
     }
 
     /// Sends the request to the upstream of `slot` and waits for the head of the answer: as long as
@@ -381,16 +385,12 @@
             AttemptFailure::Unreachable => return RetryDecision::Refuse(RefusalReason::NoUpstream),
             AttemptFailure::TimeUp => return RetryDecision::Refuse(RefusalReason::TimeUp),
             AttemptFailure::NotRun(_) => RefusalReason::NotRun,
-            AttemptFailure::MayHaveRun(_) if !call.route.kind.is_retryable() => {
+            AttemptFailure::MayHaveRun(_)
+                if !call.route.kind.is_retryable() || !call.parts.is_clear() =>
+            {
                 return RetryDecision::Refuse(RefusalReason::Broken);
             }
-            AttemptFailure::MayHaveRun(reason) => {
-                self.record_crash(call, reason, sent);
-                if !call.parts.is_clear() {
-                    return RetryDecision::Refuse(RefusalReason::Broken);
-                }
-                RefusalReason::Broken
-            }
+            AttemptFailure::MayHaveRun(_) => RefusalReason::Broken,
         };
         let allowed = sent < call.route.max_attempts as usize && time_left;
         if allowed && self.try_take_retry(call, now) {
@@ -409,19 +409,6 @@
         })
     }
 
-    /// Records a suspected crash of the upstream if its connection broke while it may have been
-    /// running the request. `reason` is the cause of the failed attempt and `sent` its number.
-    fn record_crash(&self, call: &CallState, reason: &str, sent: usize) {
-        if !matches!(reason, "broken exchange" | "connection broke") {
-            return;
-        }
-        let crash_id = format!("{}#{sent}", call.request.id);
-        let now = Instant::now();
-        let key = call.suspect.clone();
-        self.fleet
-            .with(|fleet| fleet.suspects.record_crashes(key, [crash_id], now));
-    }
-
     /// Waits for the first event of an answer. Returns the stream and the headers of the answer.
     async fn open_stream(
         &self,
--- a/crates/agatepin/src/relay/part_watch.rs
+++ b/crates/agatepin/src/relay/part_watch.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use agatepin_core::ids::{PartId, ServiceId, UpstreamId};
+use agatepin_core::poison::SuspectKey;
 use agatepin_core::relay::notices::BornMillis;
 use agatepin_core::relay::part_evidence::{CrashId, PartKey, PartState, TrialId};
 use agatepin_core::relay::part_tracker::{
@@ -25,8 +26,10 @@
     trial: RefCell<Option<(TrialId, Rc<[PartKey]>)>>,
 }
 
-/// Reports what one attempt of a request shows of the parts of its prompt.
-pub struct PartWitness {
+/// Reports what one attempt of a request shows of the request and the parts of its prompt.
+pub struct AttemptWitness {
+    /// Customer and digest of the whole request, if its crashes are counted.
+    pub suspect: Option<SuspectKey>,
     fleet: FleetHandle,
     parts: Rc<[PartKey]>,
     /// Parts of which the request is a trial.
@@ -87,10 +90,11 @@
 
     /// Witness of an attempt that is about to begin.
     #[must_use]
-    pub fn witness(&self) -> PartWitness {
+    pub fn witness(&self) -> AttemptWitness {
         let trial = self.trial.borrow();
         let parts = trial.as_ref().map(|(_, parts)| parts.clone());
-        PartWitness {
+        AttemptWitness {
+            suspect: None,
             fleet: self.fleet.clone(),
             parts: self.parts.clone(),
             trial: parts.unwrap_or_default(),
@@ -114,7 +118,7 @@
     }
 }
 
-impl PartWitness {
+impl AttemptWitness {
     /// Records that the request is sent now, to the life `born` of its upstream.
     pub fn record_sent(&mut self, born: BornMillis, now: Instant) {
         self.sent = Some((now, born));
@@ -122,9 +126,21 @@
 
     /// Records that the connection to `upstream` broke before the answer began.
     pub fn record_crash(&self, upstream: &UpstreamId) {
-        let Some((sent, born)) = self.sent.filter(|_| !self.parts.is_empty()) else {
+        let Some((sent, born)) = self.sent else {
             return;
         };
+        let now = Instant::now();
+        if let Some(suspect) = &self.suspect {
+            // Several requests and entries may notice one crash.
+            let crash_id = format!("{upstream}/{born}");
+            self.fleet.with(|fleet| {
+                let suspects = &mut fleet.suspects;
+                suspects.record_crashes(suspect.clone(), [crash_id], now)
+            });
+        }
+        if self.parts.is_empty() {
+            return;
+        }
         let attempt = CrashedAttempt {
             crash: CrashId {
                 upstream: upstream.clone(),
@@ -133,7 +149,6 @@
             sent,
             trial: &self.trial,
         };
-        let now = Instant::now();
         change_parts(&self.fleet, |tracker| {
             tracker.record_crash(&self.parts, &attempt, now);
         });
