Heartbeats tell of the suspects with the latest crashes

An entry with more than 32 suspects told other entries of the first 32 of a hash map, the same ones each time, so that they never heard of the others and let those requests crash upstreams of their own. Heartbeats now hold those with the latest crashes. The test of the order in crates/core/tests/routing.rs is new; there was no order before.

--- a/crates/agatepin/src/relay/broadcast.rs
+++ b/crates/agatepin/src/relay/broadcast.rs
@@ -42,7 +42,8 @@
 const PART_BATCH_INTERVAL: Duration = Duration::from_millis(2);
 /// Maximum number of parts that are told of periodically; those with the latest crashes are.
 const MAX_PERIODIC_PARTS: usize = 32;
-/// Maximum number of suspects (requests that crashed upstreams) in one heartbeat.
+/// Maximum number of suspects (requests that crashed upstreams) in one heartbeat; those with the
+/// latest crashes are sent.
 const MAX_SUSPECTS_PER_DATAGRAM: usize = 32;
 
 /// Sends the state of an entry to other daemons.
@@ -267,7 +268,8 @@
                 version,
             });
         self.fleet.with(|fleet| {
-            let suspects = fleet.suspects.suspects().take(MAX_SUSPECTS_PER_DATAGRAM);
+            let suspects = fleet.suspects.newest_suspects().into_iter();
+            let suspects = suspects.take(MAX_SUSPECTS_PER_DATAGRAM);
             let suspects = suspects.map(|(key, witnesses)| SuspectNews {
                 customer: key.customer.clone(),
                 digest: key.body_digest.as_bytes().to_vec(),
--- a/crates/core/src/poison.rs
+++ b/crates/core/src/poison.rs
@@ -4,6 +4,7 @@
 //! request on its upstream, so that a further crash can be attributed to it; after
 //! [`CRASHES_TO_REFUSE`] crashes it is refused.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
@@ -124,6 +125,15 @@
         self.running_suspects.remove(key);
     }
 
+    /// Returns the suspects with their witnesses, the one with the latest crash first.
+    #[must_use]
+    pub fn newest_suspects(&self) -> Vec<(&SuspectKey, &BTreeSet<String>)> {
+        let mut newest: Vec<_> = self.suspects.iter().collect();
+        newest.sort_by_key(|(key, entry)| (Reverse(entry.forget_at), *key));
+        let newest = newest.into_iter();
+        newest.map(|(key, entry)| (key, &entry.witnesses)).collect()
+    }
+
     /// Returns all suspects with their witnesses, to be sent to other processes.
     pub fn suspects(&self) -> impl Iterator<Item = (&SuspectKey, &BTreeSet<String>)> {
         self.suspects
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -219,3 +219,23 @@
         SuspectAdmission::Unrestricted
     );
 }
+
+/// Guards against heartbeats, which hold few suspects, that never tell of the latest crashes.
+#[test]
+fn suspects_with_the_latest_crashes_come_first() {
+    let now = Instant::now();
+    let mut tracker = SuspectTracker::new(60 * SECOND);
+    let key = |number: u32| SuspectKey {
+        customer: "press".into(),
+        body_digest: ContentDigest::of(&number.to_le_bytes()),
+    };
+    for number in 0..100 {
+        let witness = number.to_string();
+        tracker.record_crashes(key(number), [witness], now + number * SECOND / 10);
+    }
+    tracker.record_crashes(key(3), ["again".into()], now + 10 * SECOND);
+    let newest = tracker.newest_suspects();
+    let newest: Vec<SuspectKey> = newest.into_iter().map(|(key, _)| key.clone()).collect();
+    assert_eq!(newest[..3], [key(3), key(99), key(98)]);
+    assert_eq!(newest.len(), 100);
+}
