--- a/crates/agatepin/src/relay/attempt.rs
+++ b/crates/agatepin/src/relay/attempt.rs
@@ -305,6 +305,15 @@
     })
 }
 
+/// Whether an attempt that failed for this reason ended as one does whose upstream crashes.
+#[must_use]
+pub fn is_break(reason: &str) -> bool {
+    matches!(
+        reason,
+        "broken exchange" | "connection broke" | "ended within an event"
+    )
+}
+
 /// Records what the upstream says of itself in its answer to `request`; `born` is its life to which the
 /// request was sent.
 fn record_notices(
--- a/crates/agatepin/src/relay/call.rs
+++ b/crates/agatepin/src/relay/call.rs
@@ -19,7 +19,9 @@
 use crate::relay::access_log::AccessRecord;
 use crate::relay::admit::{AdmissionCriteria, EntryIdentity, admit};
 use crate::relay::answer_buffer::{AnswerBuffers, BufferError};
-use crate::relay::attempt::{AttemptFailure, ForwardedRequest, OpenAnswer, SlotGuard, send_once};
+use crate::relay::attempt::{
+    self, AttemptFailure, ForwardedRequest, OpenAnswer, SlotGuard, send_once,
+};
 use crate::relay::body::{BODY_QUEUE_PARTS, ReplyBody};
 use crate::relay::fleet::FleetHandle;
 use crate::relay::message::{
@@ -385,8 +387,9 @@
             AttemptFailure::Unreachable => return RetryDecision::Refuse(RefusalReason::NoUpstream),
             AttemptFailure::TimeUp => return RetryDecision::Refuse(RefusalReason::TimeUp),
             AttemptFailure::NotRun(_) => RefusalReason::NotRun,
-            AttemptFailure::MayHaveRun(_)
-                if !call.route.kind.is_retryable() || !call.parts.is_clear() =>
+            AttemptFailure::MayHaveRun(reason)
+                if !call.route.kind.is_retryable()
+                    || attempt::is_break(reason) && !call.parts.is_clear() =>
             {
                 return RetryDecision::Refuse(RefusalReason::Broken);
             }
--- a/crates/agatepin/src/relay/stream.rs
+++ b/crates/agatepin/src/relay/stream.rs
@@ -14,7 +14,7 @@
 
 use crate::relay::access_log::AccessRecord;
 use crate::relay::answer_buffer::MAX_ANSWER_PARTS;
-use crate::relay::attempt::{OpenAnswer, SlotGuard};
+use crate::relay::attempt::{OpenAnswer, SlotGuard, is_break};
 use crate::relay::body::BrokenBody;
 use crate::relay::call::CallRelay;
 use crate::relay::http_client::ConnectionGuard;
@@ -78,7 +78,7 @@
         }
         Ok(StreamStep::End) => return Ok(stream),
         Ok(StreamStep::Broken(reason)) => {
-            if matches!(reason, "connection broke" | "ended within an event") {
+            if is_break(reason) {
                 stream.slot.record_break();
             }
             reason
