A part that still crashes upstreams after a refusal is refused for longer

Each further crash doubles the time, up to an hour, and the crashes of a part are forgotten together, an hour after the last. Shown by the tests of the tracker; not measured on a fleet.

--- a/crates/core/src/relay/part_evidence.rs
+++ b/crates/core/src/relay/part_evidence.rs
@@ -19,9 +19,9 @@
 /// are suspects after one.
 pub const WAVES_TO_DOUBT: usize = 2;
 /// Time since its last crash for which an incriminated part is refused. Afterwards it is quarantined
-/// again.
+/// again. Each further wave doubles the time, up to [`CRASH_RETENTION`].
 pub const REFUSAL_TIME: Duration = Duration::from_mins(10);
-/// Time for which a crash is remembered.
+/// Time since the last crash for which the crashes of a part are remembered.
 pub const CRASH_RETENTION: Duration = Duration::from_hours(1);
 /// Longest time for which a trial keeps other requests with the part from running, if nobody hears
 /// of its end.
@@ -161,7 +161,9 @@
 
     /// Forgets what is too old to matter. Returns whether anything is left.
     pub fn expire(&mut self, now: Instant) -> bool {
-        self.crashes.retain(|_, crash| crash.is_recent(now));
+        if !self.has_recent_crash(now) {
+            self.crashes.clear();
+        }
         self.trials.retain(|_, trial| trial.is_recent(now));
         let event_age = self.first_event.map(|at| now.saturating_duration_since(at));
         let sound = event_age.is_some_and(|age| age < CRASH_RETENTION);
@@ -171,9 +173,15 @@
     /// Crashes that count as evidence against the part.
     fn counted(&self, now: Instant) -> impl Iterator<Item = &PartCrash> {
         let cleared = self.first_event;
+        let recent = self.has_recent_crash(now);
         self.crashes
             .values()
-            .filter(move |crash| Some(crash.sent) > cleared && crash.is_recent(now))
+            .filter(move |crash| recent && Some(crash.sent) > cleared)
+    }
+
+    fn has_recent_crash(&self, now: Instant) -> bool {
+        let last = self.crashes.values().map(|crash| crash.noticed).max();
+        last.is_some_and(|at| now.saturating_duration_since(at) < CRASH_RETENTION)
     }
 
     /// Number of waves of crashes that count against the part.
@@ -199,18 +207,23 @@
         self.counted(now).map(|crash| crash.noticed).max()
     }
 
-    /// Whether there were so many waves of crashes, the last one less than [`REFUSAL_TIME`] ago,
-    /// that this part, or one that its requests have as well, crashes upstreams.
+    /// Whether there were so many waves of crashes, and the last one so recently, that this part, or
+    /// one that its requests have as well, crashes upstreams.
     #[must_use]
     pub fn is_incriminated(&self, now: Instant) -> bool {
-        let last = self.last_crash(now);
-        let recent = last.is_some_and(|at| now.saturating_duration_since(at) < REFUSAL_TIME);
+        let Some(last) = self.last_crash(now) else {
+            return false;
+        };
         let needed = if self.known_sound {
             WAVES_TO_REFUSE_SOUND
         } else {
             WAVES_TO_REFUSE
         };
-        recent && self.waves(now) >= needed
+        let Some(further) = self.waves(now).checked_sub(needed) else {
+            return false;
+        };
+        let refusal = REFUSAL_TIME * (1 << further.min(MAX_CRASHES));
+        now.saturating_duration_since(last) < refusal.min(CRASH_RETENTION)
     }
 
     /// Whether requests with the part may run. An incriminated part is refused only after a crash in
@@ -266,12 +279,6 @@
     }
 }
 
-impl PartCrash {
-    fn is_recent(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.noticed) < CRASH_RETENTION
-    }
-}
-
 impl PartTrial {
     fn is_recent(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.started) < TRIAL_TIME
--- a/crates/core/tests/relay/parts.rs
+++ b/crates/core/tests/relay/parts.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use agatepin_core::relay::part_evidence::{
-    CrashId, MAX_CRASHES, PartKey, PartState, REFUSAL_TIME, TRIAL_TIME,
+    CRASH_RETENTION, CrashId, MAX_CRASHES, PartKey, PartState, REFUSAL_TIME, TRIAL_TIME,
 };
 use agatepin_core::relay::part_tracker::{
     CrashedAttempt, MAX_PARTS, PartAdmission, PartNews, PartTracker,
@@ -147,7 +147,7 @@
 }
 
 #[test]
-fn a_refused_part_is_tried_again_later() {
+fn a_refused_part_is_tried_again_later_and_later() {
     let mut entry = Entry::new();
     entry.crash(&["d"], 1, 0, 1, &[]);
     entry.crash_trial("d", 2);
@@ -156,7 +156,8 @@
     assert_eq!(entry.state("d", later - 1), PartState::Refused);
     entry.crash_trial("d", later);
     assert_eq!(entry.state("d", later + 1), PartState::Refused);
-    let later = 2 * later;
+    let later = later + 1 + 2 * u32::try_from(REFUSAL_TIME.as_secs()).unwrap();
+    assert_eq!(entry.state("d", later - 1), PartState::Refused);
     assert_eq!(
         entry.admit(&["d"], later),
         PartAdmission::Trial(keys(&["d"]))
@@ -165,6 +166,17 @@
     assert_eq!(entry.admit(&["d"], later + 1), PartAdmission::Clear);
 }
 
+#[test]
+fn a_part_is_forgotten_an_hour_after_its_last_crash() {
+    let mut entry = Entry::new();
+    entry.crash(&["d"], 1, 0, 1, &[]);
+    entry.crash(&["d"], 2, 1_000, 1_001, &[]);
+    let hour = u32::try_from(CRASH_RETENTION.as_secs()).unwrap();
+    let now = entry.at(1_000 + hour);
+    assert_eq!(entry.tracker.suspects(now)[0].1.waves(now), 2);
+    assert_eq!(entry.admit(&["d"], 1_001 + hour), PartAdmission::Clear);
+}
+
 /// Guards against a sound part that is refused because requests with a deadly one have it as well.
 #[test]
 fn of_two_parts_that_crash_together_neither_is_refused_alone_without_a_trial_of_its_own() {
