--- a/crates/agatepin/src/relay/call.rs
+++ b/crates/agatepin/src/relay/call.rs
@@ -19,7 +19,9 @@
 use crate::relay::access_log::AccessRecord;
 use crate::relay::admit::{AdmissionCriteria, EntryIdentity, admit};
 use crate::relay::answer_buffer::{AnswerBuffers, BufferError};
-use crate::relay::attempt::{AttemptFailure, ForwardedRequest, OpenAnswer, SlotGuard, send_once};
+use crate::relay::attempt::{
+    self, AttemptFailure, ForwardedRequest, OpenAnswer, SlotGuard, send_once,
+};
 use crate::relay::body::{BODY_QUEUE_PARTS, ReplyBody};
 use crate::relay::caller_body::CallerBody;
 use crate::relay::fleet::FleetHandle;
@@ -374,7 +376,11 @@
         call.parts.admit()?;
         self.metrics.record_attempt(&call.service);
         self.fleet.unreported.set(true);
-        Ok(slot.with_witness(call.parts.witness()))
+        let mut witness = call.parts.witness();
+        if call.route.kind.is_retryable() {
+            witness.suspect = Some(call.suspect.clone());
+        }
+        Ok(slot.with_witness(witness))
     }
 
     /// Sends the request to the upstream of `slot` and waits for the head of the answer: as long as
@@ -424,16 +430,13 @@
             AttemptFailure::Unreachable => return RetryDecision::Refuse(RefusalReason::NoUpstream),
             AttemptFailure::TimeUp => return RetryDecision::Refuse(RefusalReason::TimeUp),
             AttemptFailure::NotRun(_) => RefusalReason::NotRun,
-            AttemptFailure::MayHaveRun(_) if !call.route.kind.is_retryable() => {
+            AttemptFailure::MayHaveRun(reason)
+                if !call.route.kind.is_retryable()
+                    || attempt::is_break(reason) && !call.parts.is_clear() =>
+            {
                 return RetryDecision::Refuse(RefusalReason::Broken);
             }
-            AttemptFailure::MayHaveRun(reason) => {
-                self.record_crash(call, reason, sent);
-                if !call.parts.is_clear() {
-                    return RetryDecision::Refuse(RefusalReason::Broken);
-                }
-                RefusalReason::Broken
-            }
+            AttemptFailure::MayHaveRun(_) => RefusalReason::Broken,
         };
         let allowed = sent < call.route.max_attempts as usize && time_left;
         if allowed && self.try_take_retry(call, now) {
@@ -452,19 +455,6 @@
         })
     }
 
-    /// Records a suspected crash of the upstream if its connection broke while it may have been
-    /// running the request. `reason` is the cause of the failed attempt and `sent` its number.
-    fn record_crash(&self, call: &CallState, reason: &str, sent: usize) {
-        if !matches!(reason, "broken exchange" | "connection broke") {
-            return;
-        }
-        let crash_id = format!("{}#{sent}", call.request.id);
-        let now = Instant::now();
-        let key = call.suspect.clone();
-        self.fleet
-            .with(|fleet| fleet.suspects.record_crashes(key, [crash_id], now));
-    }
-
     /// Waits for the first event of an answer. Returns the stream and the headers of the answer.
     async fn open_stream(
         &self,
