Entry: idle and header limits of the configuration are in force

Callers reuse a connection for up to four fifths of the configured idle limit. The entry closed idle connections after 15 s, whatever the configuration said: with a higher limit, a request on a kept connection met a close and had no answer. With a lower one, idle connections and incomplete heads were kept for longer than configured.

Cause: `idle_timeout_ms` and `header_timeout_ms` were not read; hyper's header timeout, fixed for a connection, stood for both.

Change: the catalog has both limits. Each connection of a caller has a timer that is driven by its input and by the requests on it. The idle limit counts from the end of a request, the head's from its first byte, and neither while a request is received or answered. A limit that is raised counts at once, one that is lowered from the next request on, and a second more leaves time for requests that are on their way. Without a configuration, both limits are 15 s as before.

--- a/crates/agatepin/src/relay/caller_body.rs
+++ b/crates/agatepin/src/relay/caller_body.rs
@@ -17,6 +17,8 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
+use crate::relay::connection_timer::{GuardedBody, RequestGuard};
+
 /// Largest part of a body that is discarded, in bytes; after it the connection is closed.
 const DISCARD_BYTES: usize = 16 * 1024 * 1024;
 /// Longest time for which a body is discarded; after it the connection is closed.
@@ -29,19 +31,23 @@
     /// The caller sends the body only after `100 Continue`, which reading the body sends.
     awaits_continue: bool,
     unread: UnreadInput,
+    guard: Rc<RequestGuard>,
 }
 
+/// Unread rest of a body. The request lasts until it is discarded.
+type UnreadBody = GuardedBody<Incoming, Rc<RequestGuard>>;
+
 /// Handle by which the requests of one connection report the input that they leave unread.
 #[derive(Clone)]
 pub struct UnreadInput {
-    bodies: mpsc::UnboundedSender<Incoming>,
+    bodies: mpsc::UnboundedSender<UnreadBody>,
     /// Set if unread input cannot be discarded.
     must_close: Rc<Cell<bool>>,
 }
 
 /// Discards the bodies that the requests of one connection leave unread.
 pub struct BodyDiscarder {
-    bodies: mpsc::UnboundedReceiver<Incoming>,
+    bodies: mpsc::UnboundedReceiver<UnreadBody>,
     must_close: Rc<Cell<bool>>,
 }
 
@@ -70,12 +76,17 @@
 
     /// Wraps the body of a request of the connection.
     #[must_use]
-    pub fn watch(&self, request: Request<Incoming>) -> Request<CallerBody> {
+    pub fn watch(
+        &self,
+        request: Request<Incoming>,
+        guard: Rc<RequestGuard>,
+    ) -> Request<CallerBody> {
         let awaits_continue = request.headers().contains_key(EXPECT);
         request.map(|incoming| CallerBody {
             incoming: Some(incoming),
             awaits_continue,
             unread: self.clone(),
+            guard,
         })
     }
 }
@@ -93,7 +104,7 @@
 }
 
 /// Reads a body to its end. Returns false if it breaks off or is too large.
-async fn discard(body: Incoming) -> bool {
+async fn discard(body: UnreadBody) -> bool {
     let mut body = Limited::new(body, DISCARD_BYTES);
     while let Some(frame) = body.frame().await {
         if frame.is_err() {
@@ -145,7 +156,12 @@
             self.unread.must_close.set(true);
             return;
         }
+        let guard = self.guard.clone();
+        let body = GuardedBody {
+            body: incoming,
+            guard,
+        };
         // The connection has ended if its discarder is gone.
-        let _ = self.unread.bodies.send(incoming);
+        let _ = self.unread.bodies.send(body);
     }
 }
--- /dev/null
+++ b/crates/agatepin/src/relay/connection_timer.rs
@@ -0,0 +1,220 @@
+//! Time limits of callers' connections: for the time without a request, and for the time in which
+//! the head of a request arrives.
+
+use std::cell::Cell;
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use std::time::{Duration, Instant};
+
+use agatepin_core::relay::catalog::CallerTimeouts;
+use hyper::body::{Body, Frame, SizeHint};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::sleep_until;
+
+/// Time for which a connection is kept beyond its limit, for a request that is on its way.
+const TRANSIT_TIME: Duration = Duration::from_secs(1);
+
+/// Source of the time limits of callers' connections that are in force.
+pub trait TimeoutSource: Clone + 'static {
+    /// Time limits in force.
+    fn timeouts(&self) -> CallerTimeouts;
+}
+
+/// Limits that stay the same.
+impl TimeoutSource for CallerTimeouts {
+    fn timeouts(&self) -> CallerTimeouts {
+        *self
+    }
+}
+
+/// What a connection waits for.
+#[derive(Clone, Copy)]
+enum TimerPhase {
+    /// The end of a request: its body and its answer have limits of their own.
+    Request,
+    /// The first byte of a request's head.
+    Idle,
+    /// The rest of a request's head.
+    Head,
+}
+
+/// Timer of one connection.
+pub struct ConnectionTimer {
+    phase: Cell<TimerPhase>,
+    /// Start of the phase, or the last progress of an answer that is still sent in it.
+    since: Cell<Instant>,
+    phase_changed: Notify,
+}
+
+impl ConnectionTimer {
+    /// Starts the timer of a new connection.
+    #[must_use]
+    pub fn start() -> Rc<Self> {
+        Rc::new(Self {
+            phase: Cell::new(TimerPhase::Idle),
+            since: Cell::new(Instant::now()),
+            phase_changed: Notify::new(),
+        })
+    }
+
+    /// Stops the timer while the guard, shared by a request's body and its answer, exists.
+    #[must_use]
+    pub fn begin_request(self: &Rc<Self>) -> Rc<RequestGuard> {
+        self.enter(TimerPhase::Request);
+        Rc::new(RequestGuard(self.clone()))
+    }
+
+    /// Waits until the connection has exceeded a limit of `source`. A limit that is lowered in a
+    /// phase does not shorten it, since the caller may not know the lower one yet.
+    pub async fn expired<Source>(&self, source: Source)
+    where
+        Source: TimeoutSource,
+    {
+        let mut initial = source.timeouts();
+        loop {
+            let deadline = self.deadline(initial, source.timeouts());
+            if deadline.is_some_and(|deadline| deadline <= Instant::now()) {
+                return;
+            }
+            let until_deadline = async {
+                match deadline {
+                    Some(deadline) => sleep_until(deadline.into()).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                () = self.phase_changed.notified() => initial = source.timeouts(),
+                () = until_deadline => {}
+            }
+        }
+    }
+
+    /// Time at which the phase ends, if it is limited, by the limits at its start or the current
+    /// ones.
+    fn deadline(&self, initial: CallerTimeouts, current: CallerTimeouts) -> Option<Instant> {
+        let limit = match self.phase.get() {
+            TimerPhase::Request => return None,
+            TimerPhase::Idle => initial.idle.max(current.idle),
+            TimerPhase::Head => initial.head.max(current.head),
+        };
+        Some(self.since.get() + limit + TRANSIT_TIME)
+    }
+
+    fn enter(&self, phase: TimerPhase) {
+        self.phase.set(phase);
+        self.since.set(Instant::now());
+        self.phase_changed.notify_one();
+    }
+}
+
+/// Guard of a request that is received or answered; its drop makes the connection idle.
+pub struct RequestGuard(Rc<ConnectionTimer>);
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        self.0.enter(TimerPhase::Idle);
+    }
+}
+
+/// A caller's stream whose input and output drive the connection's timer.
+pub struct TimedStream {
+    /// Stream of the connection.
+    pub stream: TcpStream,
+    /// Timer of the connection.
+    pub timer: Rc<ConnectionTimer>,
+}
+
+impl TimedStream {
+    /// Postpones the end of an idle time while the end of an answer is still being sent.
+    fn record_write(&self) {
+        if matches!(self.timer.phase.get(), TimerPhase::Idle) {
+            self.timer.since.set(Instant::now());
+        }
+    }
+}
+
+impl AsyncRead for TimedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        let is_idle = matches!(self.timer.phase.get(), TimerPhase::Idle);
+        if is_idle && buf.filled().len() > before {
+            self.timer.enter(TimerPhase::Head);
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for TimedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = ready!(Pin::new(&mut self.stream).poll_write(cx, buf))?;
+        self.record_write();
+        Poll::Ready(Ok(written))
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, bufs))?;
+        self.record_write();
+        Poll::Ready(Ok(written))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+/// A body that holds a guard until it is dropped.
+pub struct GuardedBody<Content, Guard> {
+    /// Body that is read.
+    pub body: Content,
+    /// Guard that is dropped with the body.
+    pub guard: Guard,
+}
+
+impl<Content, Guard> Body for GuardedBody<Content, Guard>
+where
+    Content: Body + Unpin,
+    Guard: Unpin,
+{
+    type Data = Content::Data;
+    type Error = Content::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Content::Data>, Content::Error>>> {
+        Pin::new(&mut self.get_mut().body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/agatepin/src/relay/daemon.rs
+++ b/crates/agatepin/src/relay/daemon.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use agatepin_core::relay::catalog::CallerTimeouts;
 use agatepin_core::relay::liveness::EntryListing;
 use agatepin_core::relay::rate_share::RetryLimit;
 use eyre::{Result, WrapErr};
@@ -113,6 +114,7 @@
         closing: closing.clone(),
         leaving: leaving.clone(),
         connections: connections.clone(),
+        timeouts: fleet.clone(),
     };
     let metrics = RelayMetrics::register()?;
     let relay: CallRelay<Store, Dialect> = CallRelay::new(
@@ -140,6 +142,7 @@
             closing: CancellationToken::new(),
             leaving: CancellationToken::new(),
             connections: TaskTracker::new(),
+            timeouts: CallerTimeouts::default(),
         };
         let handler = handler.clone();
         actix_rt::spawn(server.run(move |request| {
--- a/crates/agatepin/src/relay/fleet.rs
+++ b/crates/agatepin/src/relay/fleet.rs
@@ -8,7 +8,7 @@
 
 use agatepin_core::ids::{ModelId, RegionId, ServiceId};
 use agatepin_core::poison::SuspectTracker;
-use agatepin_core::relay::catalog::{RouteCatalog, WeightsVersion};
+use agatepin_core::relay::catalog::{CallerTimeouts, RouteCatalog, WeightsVersion};
 use agatepin_core::relay::client_timeout::{ClientTimeouts, RefusedRequests};
 use agatepin_core::relay::liveness::EntryDirectory;
 use agatepin_core::relay::rate_share::{ColdRateShare, RetryLimit, RetryShare};
@@ -17,6 +17,7 @@
 use agatepin_core::relay::upstreams::UpstreamDirectory;
 use tokio::sync::Notify;
 
+use crate::relay::connection_timer::TimeoutSource;
 use crate::relay::ports::{FleetUpdate, MirrorTable};
 
 /// Time for which a suspect (a request that crashed upstreams) is remembered: longer than its
@@ -88,6 +89,17 @@
     pub unreported: Rc<Cell<bool>>,
 }
 
+/// Limits of the catalog.
+impl TimeoutSource for FleetHandle {
+    fn timeouts(&self) -> CallerTimeouts {
+        self.with(|fleet| {
+            let catalog = fleet.catalog.as_ref();
+            catalog.map(|catalog| catalog.limits().timeouts)
+        })
+        .unwrap_or_default()
+    }
+}
+
 impl FleetHandle {
     /// Creates an empty state. `retry_limit` is the limit of the retries that all entries together may
     /// send.
--- a/crates/agatepin/src/relay/mod.rs
+++ b/crates/agatepin/src/relay/mod.rs
@@ -12,6 +12,7 @@
 pub mod broadcast;
 pub mod call;
 pub mod caller_body;
+pub mod connection_timer;
 pub mod daemon;
 pub mod datagram;
 pub mod datagram_handler;
--- a/crates/agatepin/src/relay/server.rs
+++ b/crates/agatepin/src/relay/server.rs
@@ -12,7 +12,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use serde_json::json;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -23,14 +23,13 @@
 use crate::relay::admit::EntryIdentity;
 use crate::relay::body::ReplyBody;
 use crate::relay::caller_body::{CallerBody, UnreadInput};
+use crate::relay::connection_timer::{ConnectionTimer, GuardedBody, TimedStream, TimeoutSource};
 use crate::relay::fleet::{FleetHandle, FleetState};
 use crate::relay::metrics::RelayMetrics;
 use crate::relay::ports::WireDialect;
 
 /// Time for which callers may cache the addresses of entries in an answer of the directory.
 const ADDRESSES_TTL: Duration = Duration::from_secs(2);
-/// Time without a complete request head after which a caller's connection is closed.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Read buffer of a connection, in bytes, which bounds the size of a request's head.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Longest time for which a connection with unread input stays open for reading after its close.
@@ -39,7 +38,7 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// HTTP/1.1 server of one listener, with the two steps of a graceful shutdown.
-pub struct HttpServer {
+pub struct HttpServer<Timeouts> {
     /// Socket that connections are accepted from.
     pub listener: TcpListener,
     /// Cancelled when no new connections are accepted any more.
@@ -48,9 +47,14 @@
     pub leaving: CancellationToken,
     /// Tracks the open connections.
     pub connections: TaskTracker,
+    /// Source of the connections' time limits.
+    pub timeouts: Timeouts,
 }
 
-impl HttpServer {
+impl<Timeouts> HttpServer<Timeouts>
+where
+    Timeouts: TimeoutSource,
+{
     /// Accepts connections and answers their requests by `answer`, until `closing` is cancelled.
     pub async fn run<Answer, Answering>(self, answer: Answer)
     where
@@ -72,9 +76,10 @@
             };
             let answer = answer.clone();
             let leaving = self.leaving.clone();
+            let timeouts = self.timeouts.clone();
             let connection = self
                 .connections
-                .track_future(serve(stream, leaving, answer));
+                .track_future(serve(stream, timeouts, leaving, answer));
             actix_rt::spawn(connection);
         }
     }
@@ -82,17 +87,24 @@
 
 /// Serves one connection until it ends or, once `leaving` is cancelled, until the answer in
 /// progress is sent.
-async fn serve<Answer, Answering>(stream: TcpStream, leaving: CancellationToken, answer: Answer)
-where
+async fn serve<Timeouts, Answer, Answering>(
+    stream: TcpStream,
+    timeouts: Timeouts,
+    leaving: CancellationToken,
+    answer: Answer,
+) where
+    Timeouts: TimeoutSource,
     Answer: Fn(Request<CallerBody>) -> Answering,
     Answering: Future<Output = Response<ReplyBody>>,
 {
     if let Err(err) = stream.set_nodelay(true) {
         log::debug!("TCP_NODELAY cannot be set on an HTTP connection: {err}");
     }
+    let timer = ConnectionTimer::start();
     let (unread, discarder) = UnreadInput::channel();
     let service = service_fn(|request| {
-        let answering = answer(unread.watch(request));
+        let guard = timer.begin_request();
+        let answering = answer(unread.watch(request, guard.clone()));
         let unread = unread.clone();
         async move {
             let mut response = answering.await;
@@ -100,17 +112,20 @@
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(response.map(|body| GuardedBody { body, guard }))
         }
     });
     // A connection that is accepted during the shutdown still has its first request answered.
     let is_last = leaving.is_cancelled();
+    let io = TimedStream {
+        stream,
+        timer: timer.clone(),
+    };
     let mut connection = http1::Builder::new()
         .keep_alive(!is_last)
-        .timer(TokioTimer::new())
-        .header_read_timeout(IDLE_TIMEOUT)
+        .header_read_timeout(None)
         .max_buf_size(MAX_HEAD_BYTES)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(io), service);
     let serving = async {
         tokio::select! {
             ended = &mut connection => ended,
@@ -120,16 +135,19 @@
             }
         }
     };
+    // Input that has arrived counts before the timer.
     let ended = tokio::select! {
+        biased;
         ended = serving => ended,
         never = discarder.run() => match never {},
+        () = timer.expired(timeouts) => return,
     };
     // Hyper refuses a head that it cannot parse by itself, and reads no further.
     let refused_head = ended.as_ref().is_err_and(hyper::Error::is_parse);
     if let Err(err) = ended {
         log::debug!("HTTP connection from a client failed: {err}");
     }
-    let stream = connection.into_parts().io.into_inner();
+    let stream = connection.into_parts().io.into_inner().stream;
     if refused_head || unread.must_close() {
         linger(stream).await;
     }
--- a/crates/core/src/relay/catalog.rs
+++ b/crates/core/src/relay/catalog.rs
@@ -123,12 +123,23 @@
         pub home_regions: Vec<RegionId>,
     }
 
-    /// Size limits for requests.
+    /// Limits for requests and callers' connections.
     pub struct CallerLimits {
         /// Maximum size of a request's head, in bytes.
         pub header_bytes: usize,
         /// Maximum size of a request's body, in bytes.
         pub body_bytes: usize,
+        /// Time limits for connections.
+        pub timeouts: CallerTimeouts,
+    }
+
+    /// Time limits for callers' connections.
+    #[derive(Copy)]
+    pub struct CallerTimeouts {
+        /// Maximum time in which the head of a request arrives.
+        pub head: Duration,
+        /// Maximum time between two requests.
+        pub idle: Duration,
     }
 
     /// Catalog as operators declare it, decoded from the store.
@@ -143,7 +154,7 @@
         pub origin: Option<SocketAddr>,
         /// Customers; if empty, callers need no API keys.
         pub customers: Vec<CustomerAccount>,
-        /// Size limits for requests.
+        /// Limits for requests and callers' connections.
         pub limits: CallerLimits,
     }
 
@@ -156,6 +167,16 @@
     }
 }
 
+/// Limits without a catalog.
+impl Default for CallerTimeouts {
+    fn default() -> Self {
+        Self {
+            head: Duration::from_secs(15),
+            idle: Duration::from_secs(15),
+        }
+    }
+}
+
 /// Catalog indexed for lookups.
 #[derive(Debug)]
 pub struct RouteCatalog {
@@ -195,7 +216,7 @@
         self.spec.version
     }
 
-    /// Size limits for requests.
+    /// Limits for requests and callers' connections.
     #[must_use]
     pub fn limits(&self) -> &CallerLimits {
         &self.spec.limits
--- a/crates/core/tests/relay/setups.rs
+++ b/crates/core/tests/relay/setups.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use agatepin_core::relay::catalog::{
-    CallerLimits, CatalogSpec, CustomerAccount, EngineSpec, EngineTiming, RequestKind, RouteSpec,
-    RouteTarget, ServiceSpec,
+    CallerLimits, CallerTimeouts, CatalogSpec, CustomerAccount, EngineSpec, EngineTiming,
+    RequestKind, RouteSpec, RouteTarget, ServiceSpec,
 };
 use agatepin_core::relay::upstreams::UpstreamListing;
 
@@ -82,6 +82,7 @@
         limits: CallerLimits {
             header_bytes: 16_384,
             body_bytes: 1_000,
+            timeouts: CallerTimeouts::default(),
         },
     }
 }
