--- a/crates/agatepin/src/relay/broadcast.rs
+++ b/crates/agatepin/src/relay/broadcast.rs
@@ -66,6 +66,14 @@
     Store: TableStore,
     Dialect: WireDialect,
 {
+    /// Starts the tasks that send this entry's state.
+    pub fn spawn_tasks(self) {
+        actix_rt::spawn(self.clone().report_requests());
+        actix_rt::spawn(self.clone().report_engines());
+        actix_rt::spawn(self.clone().report_parts());
+        actix_rt::spawn(self.run());
+    }
+
     /// Sends heartbeats and rosters until the task is dropped: at each interval, and at once after
     /// an announcement of weights. After each read of changed rows of the store, only heartbeats
     /// are sent.
--- a/crates/agatepin/src/relay/daemon.rs
+++ b/crates/agatepin/src/relay/daemon.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use agatepin_core::relay::catalog::CallerTimeouts;
 use agatepin_core::relay::liveness::EntryListing;
 use agatepin_core::relay::rate_share::RetryLimit;
 use agatepin_core::relay::shutdown::ShutdownTimes;
@@ -116,6 +117,7 @@
         closing: closing.clone(),
         leaving: leaving.clone(),
         connections: connections.clone(),
+        timeouts: fleet.clone(),
     };
     let metrics = RelayMetrics::register()?;
     let relay: CallRelay<Store, Dialect> = CallRelay::new(
@@ -144,6 +146,7 @@
             closing: CancellationToken::new(),
             leaving: CancellationToken::new(),
             connections: TaskTracker::new(),
+            timeouts: CallerTimeouts::default(),
         };
         let handler = handler.clone();
         actix_rt::spawn(server.run(move |request| {
@@ -173,10 +176,7 @@
         own: own.clone(),
         mirror,
     };
-    actix_rt::spawn(broadcaster.clone().report_requests());
-    actix_rt::spawn(broadcaster.clone().report_engines());
-    actix_rt::spawn(broadcaster.clone().report_parts());
-    actix_rt::spawn(broadcaster.clone().run());
+    broadcaster.clone().spawn_tasks();
     actix_rt::spawn(register_entry(
         store.clone(),
         identity.name.clone(),
--- a/crates/agatepin/src/relay/fleet.rs
+++ b/crates/agatepin/src/relay/fleet.rs
@@ -8,7 +8,7 @@
 
 use agatepin_core::ids::{ModelId, RegionId, ServiceId};
 use agatepin_core::poison::SuspectTracker;
-use agatepin_core::relay::catalog::{RouteCatalog, WeightsVersion};
+use agatepin_core::relay::catalog::{CallerTimeouts, RouteCatalog, WeightsVersion};
 use agatepin_core::relay::client_timeout::{ClientTimeouts, RefusedRequests};
 use agatepin_core::relay::liveness::EntryDirectory;
 use agatepin_core::relay::part_evidence::PartKey;
@@ -21,6 +21,7 @@
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
+use crate::relay::connection_timer::TimeoutSource;
 use crate::relay::ports::{FleetUpdate, MirrorTable};
 
 /// Time for which a suspect (a request that crashed upstreams) is remembered: longer than its
@@ -101,6 +102,17 @@
     pub stopping: CancellationToken,
 }
 
+/// Limits of the catalog.
+impl TimeoutSource for FleetHandle {
+    fn timeouts(&self) -> CallerTimeouts {
+        self.with(|fleet| {
+            let catalog = fleet.catalog.as_ref();
+            catalog.map(|catalog| catalog.limits().timeouts)
+        })
+        .unwrap_or_default()
+    }
+}
+
 impl FleetHandle {
     /// Creates an empty state. `retry_limit` is the limit of the retries that all entries together may
     /// send.
