Answers do not end because their worker is silent

Callers saw streams that broke off, and failures (502), while the worker was sound and went on after a second or two.

Three time limits took silence for a failure, whether or not another attempt was left: 1 s between two events of a stream, and 1.6 s before the head of an answer and before the first event. A stream that may not be repeated was cut, and so were the last permitted attempt and a request whose service has one worker.

The limits now only start the search for another worker. A silent attempt is given up once another worker has a slot for the request, and a silent stream once its resumption has an event; without them, the wait goes on until the deadline. If the silent worker goes on first, the resumption is dropped.

--- a/crates/agatepin/src/relay/attempt.rs
+++ b/crates/agatepin/src/relay/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt of a request: sends it to one upstream and checks the head of the answer.
 
 use std::cell::Cell;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use agatepin_core::ids::UpstreamId;
@@ -62,6 +63,9 @@
     Unreachable,
     /// The request may have run; the text gives the cause.
     MayHaveRun(&'static str),
+    /// The upstream was silent, and the request may have run. The guard holds a slot at the upstream
+    /// that replaces it.
+    Replaced(SlotGuard),
     /// The deadline of the request passed before its answer arrived.
     TimeUp,
 }
@@ -118,9 +122,12 @@
     /// answer begins, then 0.
     unread: u32,
     /// Outcome that is recorded on drop.
-    outcome: SendOutcome,
+    outcome: OutcomeCell,
 }
 
+/// Outcome of an attempt so far, shared between the attempt and the task that waits for it.
+pub type OutcomeCell = Rc<Cell<SendOutcome>>;
+
 impl SlotGuard {
     /// Creates the guard of a request of `prompt_tokens` tokens that admission counted at
     /// `upstream`.
@@ -130,10 +137,16 @@
             fleet,
             upstream,
             unread: prompt_tokens,
-            outcome: SendOutcome::Abandoned,
+            outcome: Rc::new(Cell::new(SendOutcome::Abandoned)),
         }
     }
 
+    /// The outcome that is recorded on drop, for whoever gives up the attempt that holds this guard.
+    #[must_use]
+    pub fn outcome(&self) -> OutcomeCell {
+        self.outcome.clone()
+    }
+
     /// Records that the answer began, so that the request's prompt has been prefilled.
     pub fn answer_started(&mut self) {
         let unread = std::mem::take(&mut self.unread);
@@ -144,7 +157,7 @@
 
     /// Sets the outcome that is recorded on drop; [`SendOutcome::Abandoned`] if never set.
     pub fn set_outcome(&mut self, outcome: SendOutcome) {
-        self.outcome = outcome;
+        self.outcome.set(outcome);
     }
 
     /// Id of the upstream whose slot the request takes.
@@ -157,7 +170,7 @@
 impl Drop for SlotGuard {
     fn drop(&mut self) {
         let now = Instant::now();
-        let (upstream, outcome, unread) = (&self.upstream, self.outcome, self.unread);
+        let (upstream, outcome, unread) = (&self.upstream, self.outcome.get(), self.unread);
         self.fleet.with(|fleet| {
             fleet
                 .upstreams
--- a/crates/agatepin/src/relay/call.rs
+++ b/crates/agatepin/src/relay/call.rs
@@ -19,7 +19,9 @@
 use crate::relay::access_log::AccessRecord;
 use crate::relay::admit::{AdmissionCriteria, EntryIdentity, admit};
 use crate::relay::answer_buffer::AnswerBuffers;
-use crate::relay::attempt::{AttemptFailure, ForwardedRequest, OpenAnswer, SlotGuard, send_once};
+use crate::relay::attempt::{
+    AttemptFailure, ForwardedRequest, OpenAnswer, OutcomeCell, SlotGuard, send_once,
+};
 use crate::relay::body::{BODY_QUEUE_PARTS, ReplyBody};
 use crate::relay::fleet::FleetHandle;
 use crate::relay::message::{
@@ -31,9 +33,12 @@
 use crate::relay::refusal::{self, RefusalReason};
 use crate::relay::stream::{self, OpenStream, StreamResume};
 
-/// Longest wait for the head of an upstream's answer, and then for the first event of its stream, if
-/// the request may be retried at another upstream. Callers disconnect after 2 s without data.
+/// Time without the head of an upstream's answer, and then without the first event of its stream, after
+/// which another upstream is sought if the request may be retried. Callers disconnect after 2 s
+/// without data.
 const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1_600);
+/// Pause between two searches for an upstream that can replace a silent one.
+const REPLACEMENT_INTERVAL: Duration = Duration::from_millis(100);
 /// Number of failed connections to upstreams after which one request is refused.
 const MAX_FAILED_CONNECTIONS: usize = 3;
 /// Minimum time left until the request's deadline for an attempt to be started.
@@ -67,6 +72,22 @@
     suspect: SuspectKey,
 }
 
+impl CallState {
+    /// Time until the deadline.
+    fn time_left(&self) -> Duration {
+        let deadline = self.request.deadline;
+        deadline.saturating_duration_since(Instant::now())
+    }
+}
+
+/// Attempts of a request up to the current one.
+struct PastAttempts<'call> {
+    /// Upstreams of the attempts, the current one included; they are not tried again.
+    tried: &'call [UpstreamId],
+    /// Whether the route allows another attempt.
+    may_replace: bool,
+}
+
 /// Relays callers' requests to upstreams.
 pub struct CallRelay<Store, Dialect> {
     /// Translates between the platform's formats and the types of this module.
@@ -228,27 +249,38 @@
         let mut unreachable = 0;
         // Once the request may have run somewhere, no refusal may state that it has not.
         let mut may_have_run = false;
+        // Slot for the next attempt, if the last upstream was replaced.
+        let mut replacement = None;
         loop {
-            let slot = match self.acquire_slot(&call, &tried).await {
+            let slot = match replacement.take() {
+                Some(slot) => Ok(slot),
+                None => self.acquire_slot(&call, &tried).await,
+            };
+            let slot = match slot {
                 Ok(slot) => slot,
                 Err(_) if may_have_run => return refuse(record, RefusalReason::Broken),
                 Err(reason) => return self.refuse_not_run(&call, record, reason),
             };
-            let upstream = slot.upstream().clone();
-            record.sent_to.push(upstream.clone());
-            let failure = match self.send(&call, slot).await {
+            record.sent_to.push(slot.upstream().clone());
+            tried.push(slot.upstream().clone());
+            let sent = tried.len() - unreachable;
+            let attempts = PastAttempts {
+                tried: &tried,
+                may_replace: sent < call.route.max_attempts as usize,
+            };
+            let failure = match self.send(&call, call.last_event, &attempts, slot).await {
                 Ok(answer)
                     if call.route.kind.is_stream() && answer.response.status().is_success() =>
                 {
-                    match self.open_stream(&call, answer).await {
+                    let opened = self.open_stream(&call, call.last_event, &attempts, answer);
+                    match opened.await {
                         Ok((stream, head)) => {
-                            tried.push(upstream);
                             return self.forward_stream(call, record, tried, stream, &head);
                         }
                         Err(failure) => failure,
                     }
                 }
-                Ok(answer) => match self.buffer_answer(&call, answer, tried.is_empty()).await {
+                Ok(answer) => match self.buffer_answer(&call, answer, tried.len() == 1).await {
                     Ok(response) => {
                         record.record_head(response.status().as_u16(), "answered");
                         return response;
@@ -260,9 +292,11 @@
             if matches!(failure, AttemptFailure::Unreachable) {
                 unreachable += 1;
             }
-            tried.push(upstream);
             let sent = tried.len() - unreachable;
-            may_have_run |= matches!(failure, AttemptFailure::MayHaveRun(_));
+            may_have_run |= matches!(
+                failure,
+                AttemptFailure::MayHaveRun(_) | AttemptFailure::Replaced(_)
+            );
             match self.retry_decision(&call, &failure, sent, unreachable) {
                 RetryDecision::Retry => {}
                 RetryDecision::Refuse(RefusalReason::TimeUp) => {
@@ -273,6 +307,9 @@
                 }
                 RetryDecision::Refuse(reason) => return self.refuse_not_run(&call, record, reason),
             }
+            if let AttemptFailure::Replaced(slot) = failure {
+                replacement = Some(slot);
+            }
         }
     }
 
@@ -327,33 +364,94 @@
         ))
     }
 
-    /// Sends the request to the upstream of `slot` and waits for the head of the answer: as long as
-    /// for a first event if the request may be retried, else until its deadline.
-    async fn send(&self, call: &CallState, slot: SlotGuard) -> Result<OpenAnswer, AttemptFailure> {
-        let left = call
-            .request
-            .deadline
-            .saturating_duration_since(Instant::now());
+    /// Sends the request to the upstream of `slot` and waits for the head of the answer. `after` is the
+    /// id of the event after which a stream is to be resumed.
+    async fn send(
+        &self,
+        call: &CallState,
+        after: Option<u64>,
+        attempts: &PastAttempts<'_>,
+        slot: SlotGuard,
+    ) -> Result<OpenAnswer, AttemptFailure> {
         let wait_limit = if call.route.kind.is_retryable() {
-            self.first_event_timeout(&slot, left)
+            self.wait_limit(call, &slot)
         } else {
-            left
+            call.time_left()
         };
+        let outcome = slot.outcome();
         let (dialect, fleet, metrics) = (&self.dialect, &self.fleet, &self.metrics);
-        let (request, last) = (&call.request, call.last_event);
-        send_once(dialect, fleet, metrics, request, last, wait_limit, slot).await
+        let sent = send_once(
+            dialect,
+            fleet,
+            metrics,
+            &call.request,
+            after,
+            wait_limit,
+            slot,
+        );
+        self.wait_or_replace(call, attempts, &outcome, sent).await
     }
 
-    /// Longest wait for the answer's head or first event, if the request may be retried: until the upstream counts
-    /// as unresponsive, or until the weights that it holds may no longer serve. At most `left`.
-    fn first_event_timeout(&self, slot: &SlotGuard, left: Duration) -> Duration {
+    /// Longest wait for an answer's head or first event: until the deadline, or until the weights that
+    /// the upstream of `slot` holds may no longer serve.
+    fn wait_limit(&self, call: &CallState, slot: &SlotGuard) -> Duration {
         let now = Instant::now();
         let weights_deadline = self
             .fleet
             .with(|fleet| fleet.weights_deadline(slot.upstream(), now));
         let weights_left = weights_deadline.map(|deadline| deadline.saturating_duration_since(now));
-        left.min(FIRST_EVENT_TIMEOUT)
-            .min(weights_left.unwrap_or(left))
+        let left = call.time_left();
+        left.min(weights_left.unwrap_or(left))
+    }
+
+    /// Waits for `attempt`, the last of `attempts`. Once it has been silent for
+    /// [`FIRST_EVENT_TIMEOUT`], it is given up as soon as another upstream has a slot for the request;
+    /// without one, the wait goes on. `outcome` is the outcome of the attempt.
+    async fn wait_or_replace<Attempt, Out>(
+        &self,
+        call: &CallState,
+        attempts: &PastAttempts<'_>,
+        outcome: &OutcomeCell,
+        attempt: Attempt,
+    ) -> Result<Out, AttemptFailure>
+    where
+        Attempt: Future<Output = Result<Out, AttemptFailure>>,
+    {
+        let mut attempt = std::pin::pin!(attempt);
+        if let Ok(ended) = timeout(FIRST_EVENT_TIMEOUT, attempt.as_mut()).await {
+            return ended;
+        }
+        if call.route.kind.is_retryable() {
+            outcome.set(SendOutcome::Failed);
+        }
+        tokio::select! {
+            ended = attempt => ended,
+            Some(slot) = self.acquire_replacement(call, attempts) => {
+                let (request, upstream) = (&call.request.id, slot.upstream());
+                log::info!(request, upstream; "silent upstream replaced");
+                Err(AttemptFailure::Replaced(slot))
+            }
+        }
+    }
+
+    /// Takes a retry and a slot for it, as soon as one is free. None if the request must not be retried
+    /// or has no time left for it.
+    async fn acquire_replacement(
+        &self,
+        call: &CallState,
+        attempts: &PastAttempts<'_>,
+    ) -> Option<SlotGuard> {
+        let may_replace = attempts.may_replace && call.route.kind.is_retryable();
+        if !may_replace || !self.try_take_retry(call, Instant::now()) {
+            return None;
+        }
+        loop {
+            match self.acquire_slot(call, attempts.tried).await {
+                Ok(slot) => return Some(slot),
+                Err(RefusalReason::TimeUpUnsent) => return None,
+                Err(_) => tokio::time::sleep(REPLACEMENT_INTERVAL).await,
+            }
+        }
     }
 
     /// Decides whether a request is retried after an attempt failed. `sent` counts the attempts
@@ -373,6 +471,7 @@
             }
             AttemptFailure::Unreachable => return RetryDecision::Refuse(RefusalReason::NoUpstream),
             AttemptFailure::TimeUp => return RetryDecision::Refuse(RefusalReason::TimeUp),
+            AttemptFailure::Replaced(_) => return RetryDecision::Retry,
             AttemptFailure::NotRun(_) => RefusalReason::NotRun,
             AttemptFailure::MayHaveRun(_) if !call.route.kind.is_retryable() => {
                 return RetryDecision::Refuse(RefusalReason::Broken);
@@ -412,22 +511,27 @@
             .with(|fleet| fleet.suspects.record_crashes(key, [crash_id], now));
     }
 
-    /// Waits for the first event of an answer. Returns the stream and the headers of the answer.
+    /// Waits for the first event after `after` of an answer. Returns the stream and the headers of the
+    /// answer.
     async fn open_stream(
         &self,
         call: &CallState,
+        after: Option<u64>,
+        attempts: &PastAttempts<'_>,
         answer: OpenAnswer,
     ) -> Result<(OpenStream, HeaderMap), AttemptFailure> {
         let headers = answer.response.headers().clone();
-        let left = call
-            .request
-            .deadline
-            .saturating_duration_since(Instant::now());
-        let wait_limit = self.first_event_timeout(&answer.slot, left);
-        match stream::open_stream(answer, call.last_event, wait_limit).await {
-            Ok(stream) => Ok((stream, headers)),
-            Err(reason) => Err(AttemptFailure::MayHaveRun(reason)),
-        }
+        let wait_limit = self.wait_limit(call, &answer.slot);
+        let outcome = answer.slot.outcome();
+        let opened = async {
+            let opened = stream::open_stream(answer, after, wait_limit).await;
+            opened.map_err(|reason| match call.time_left() {
+                Duration::ZERO => AttemptFailure::TimeUp,
+                _ => AttemptFailure::MayHaveRun(reason),
+            })
+        };
+        let stream = self.wait_or_replace(call, attempts, &outcome, opened);
+        Ok((stream.await?, headers))
     }
 
     /// Starts a task that forwards the events of a stream, and returns the answer for the caller,
@@ -464,31 +568,34 @@
         tried: &mut Vec<UpstreamId>,
         last: Option<u64>,
     ) -> Option<OpenStream> {
-        while tried.len() < call.route.max_attempts as usize {
-            if !self.try_take_retry(call, Instant::now()) {
-                return None;
-            }
-            let slot = self.acquire_slot(call, tried).await.ok()?;
+        let after = last.or(call.last_event);
+        let max_attempts = call.route.max_attempts as usize;
+        let mut replacement = None;
+        loop {
+            let slot = match replacement.take() {
+                Some(slot) => slot,
+                None if tried.len() >= max_attempts => return None,
+                None if !self.try_take_retry(call, Instant::now()) => return None,
+                None => self.acquire_slot(call, tried).await.ok()?,
+            };
             tried.push(slot.upstream().clone());
-            let left = call
-                .request
-                .deadline
-                .saturating_duration_since(Instant::now());
-            let wait_limit = self.first_event_timeout(&slot, left);
-            let (dialect, fleet, metrics) = (&self.dialect, &self.fleet, &self.metrics);
-            let (request, after) = (&call.request, last.or(call.last_event));
-            let sent = send_once(dialect, fleet, metrics, request, after, wait_limit, slot);
-            let Ok(answer) = sent.await else {
-                continue;
+            let attempts = PastAttempts {
+                tried,
+                may_replace: tried.len() < max_attempts,
             };
-            if !answer.response.status().is_success() {
-                continue;
-            }
-            if let Ok(stream) = stream::open_stream(answer, after, wait_limit).await {
-                return Some(stream);
+            let opened = async {
+                let answer = self.send(call, after, &attempts, slot).await?;
+                if !answer.response.status().is_success() {
+                    return Err(AttemptFailure::MayHaveRun("no stream"));
+                }
+                self.open_stream(call, after, &attempts, answer).await
+            };
+            match opened.await {
+                Ok((stream, _)) => return Some(stream),
+                Err(AttemptFailure::Replaced(slot)) => replacement = Some(slot),
+                Err(_) => {}
             }
         }
-        None
     }
 
     /// Reads an answer completely before any of it is forwarded. A server error on the first
--- a/crates/agatepin/src/relay/stream.rs
+++ b/crates/agatepin/src/relay/stream.rs
@@ -20,8 +20,8 @@
 use crate::relay::http_client::ConnectionGuard;
 use crate::relay::ports::{TableStore, WireDialect};
 
-/// Time without an event after which the upstream of a stream is given up. Callers disconnect after
-/// 2 s without data.
+/// Time without an event after which a stream is resumed at another upstream, if possible. Callers
+/// disconnect after 2 s without data.
 const STREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Stream of an upstream whose first events have arrived, or which ended without any.
@@ -48,6 +48,14 @@
     Broken(&'static str),
 }
 
+/// How a forwarded stream goes on.
+enum NextStep {
+    /// At its upstream.
+    Read(StreamStep),
+    /// At another upstream, as its own was silent.
+    Resumed(OpenStream),
+}
+
 /// Waits up to `wait_limit` for the first complete event after `last_event`, the id of the last event
 /// that the caller has; without one, for the first event of the stream.
 ///
@@ -73,10 +81,14 @@
     let failure = match step {
         Ok(StreamStep::Events(first)) => {
             stream.first = first;
+            stream.slot.set_outcome(SendOutcome::Answered);
             stream.slot.answer_started();
             return Ok(stream);
         }
-        Ok(StreamStep::End) => return Ok(stream),
+        Ok(StreamStep::End) => {
+            stream.slot.set_outcome(SendOutcome::Answered);
+            return Ok(stream);
+        }
         Ok(StreamStep::Broken(reason)) => reason,
         Err(_) => "no event in time",
     };
@@ -138,36 +150,40 @@
     loop {
         let left = deadline.saturating_duration_since(Instant::now());
         let step = tokio::select! {
-            step = timeout(left.min(STREAM_IDLE_TIMEOUT), stream.step()) => step,
+            step = timeout(left, resume.next_step(&mut stream)) => step,
             () = parts.closed() => {
                 resume.record.outcome = "caller_left";
                 return;
             }
         };
-        let reason = match step {
-            Ok(StreamStep::Events(batch)) => {
+        let (reason, resumed) = match step {
+            Ok(NextStep::Read(StreamStep::Events(batch))) => {
                 if parts.send(Ok(batch.bytes)).await.is_err() {
                     resume.record.outcome = "caller_left";
                     return;
                 }
                 continue;
             }
-            Ok(StreamStep::End) => {
+            Ok(NextStep::Read(StreamStep::End)) => {
                 resume.record.outcome = "answered";
                 return;
             }
-            Ok(StreamStep::Broken(reason)) => reason,
-            Err(_) if left <= STREAM_IDLE_TIMEOUT => "time_up",
-            Err(_) => "silent",
+            Ok(NextStep::Read(StreamStep::Broken(reason))) => (reason, None),
+            Ok(NextStep::Resumed(next)) => ("silent", Some(next)),
+            Err(_) => ("time_up", None),
         };
         stream.slot.set_outcome(SendOutcome::Failed);
         let last = stream.splitter.last();
         let (id, upstream) = (&resume.call.request.id, stream.slot.upstream());
         log::info!(request = id, upstream, last_event:? = last, reason; "stream broke off");
         drop(stream);
-        let next = tokio::select! {
-            next = resume.try_resume(last, reason) => next,
-            () = parts.closed() => None,
+        let next = if resumed.is_some() {
+            resumed
+        } else {
+            tokio::select! {
+                next = resume.try_resume(last, reason) => next,
+                () = parts.closed() => None,
+            }
         };
         let Some(next) = next else {
             resume.record.outcome = "stream_broken";
@@ -188,14 +204,43 @@
     Store: TableStore,
     Dialect: WireDialect,
 {
+    /// Reads the next events of `stream`. Once it has been silent for [`STREAM_IDLE_TIMEOUT`], it is
+    /// resumed elsewhere if possible, and goes on at the upstream that has events first.
+    async fn next_step(&mut self, stream: &mut OpenStream) -> NextStep {
+        let last = stream.splitter.last();
+        let mut step = std::pin::pin!(stream.step());
+        if let Ok(step) = timeout(STREAM_IDLE_TIMEOUT, step.as_mut()).await {
+            return NextStep::Read(step);
+        }
+        let next = {
+            let mut resumption = std::pin::pin!(self.try_resume(last, "silent"));
+            tokio::select! {
+                step = step.as_mut() => match (step, resumption) {
+                    // The resumption may still succeed.
+                    (StreamStep::Broken(reason), resumption) => match resumption.await {
+                        Some(next) => NextStep::Resumed(next),
+                        None => NextStep::Read(StreamStep::Broken(reason)),
+                    },
+                    (step, _) => NextStep::Read(step),
+                },
+                next = resumption.as_mut() => match next {
+                    Some(next) => NextStep::Resumed(next),
+                    None => NextStep::Read(step.await),
+                },
+            }
+        };
+        self.record.sent_to.clone_from(&self.tried);
+        next
+    }
+
     /// Resumes the stream after the event `last`, unless the request must not be retried or its
     /// deadline has passed.
     async fn try_resume(&mut self, last: Option<u64>, reason: &str) -> Option<OpenStream> {
         if !self.call.route.kind.is_retryable() || reason == "time_up" {
             return None;
         }
-        let stream = self.relay.resume(&self.call, &mut self.tried, last).await?;
+        let stream = self.relay.resume(&self.call, &mut self.tried, last).await;
         self.record.sent_to.clone_from(&self.tried);
-        Some(stream)
+        stream
     }
 }
