An answer is read to its end after a write of the request fails

Callers saw a stream that broke off though its worker had sent all of it.

A worker may answer before it has read a long body. If it closes then, the connection is reset, the next write of the body fails, and the HTTP client ends the exchange at a failed write: what lay unread in the receive buffer was lost.

The stream to the worker now discards writes after a reset without an error, so that the read side alone decides how the exchange ended. The reset is reported after the last byte of the answer, so that an answer without a length that was reset does not look complete.

--- a/crates/agatepin/src/relay/withdrawable.rs
+++ b/crates/agatepin/src/relay/withdrawable.rs
@@ -1,7 +1,7 @@
 //! TCP stream that withdraws its request when the exchange is given up.
 
 use std::cell::Cell;
-use std::io::{self, IoSlice};
+use std::io::{self, ErrorKind, IoSlice};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
@@ -14,6 +14,10 @@
 /// A stream that is reset when dropped before it was shut down. An ordinary close would leave the
 /// rest of the send buffer to the kernel, which could deliver a request long after its sender gave
 /// it up.
+///
+/// An upstream may answer and close before it has read the whole request, and its answer is still
+/// received then. Writes to a connection that the upstream has reset are therefore discarded without
+/// an error, which would end the exchange, and the reset is reported once all of the answer is read.
 #[derive(Debug)]
 pub struct WithdrawableStream {
     stream: TcpStream,
@@ -21,6 +25,8 @@
     allowance: ReadAllowance,
     /// Whether the write side was shut down, which the HTTP client does at the end of an exchange.
     finished: bool,
+    /// Whether a write showed that the upstream has reset the connection.
+    reset: bool,
 }
 
 /// Limit on the bytes that are read from a [`WithdrawableStream`]; clones share it.
@@ -63,8 +69,24 @@
             stream,
             allowance,
             finished: false,
+            reset: false,
         }
     }
+
+    /// Takes `length` bytes as written if the write failed because the connection was reset.
+    fn accept_reset(&mut self, written: io::Result<usize>, length: usize) -> io::Result<usize> {
+        let Err(err) = &written else {
+            return written;
+        };
+        if !matches!(
+            err.kind(),
+            ErrorKind::ConnectionReset | ErrorKind::BrokenPipe
+        ) {
+            return written;
+        }
+        self.reset = true;
+        Ok(length)
+    }
 }
 
 impl Drop for WithdrawableStream {
@@ -88,6 +110,10 @@
         let before = buf.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
         let read = buf.filled().len() - before;
+        // The write that met the reset took the error from the socket, whose end looks orderly now.
+        if read == 0 && self.reset && buf.remaining() > 0 {
+            return Poll::Ready(Err(ErrorKind::ConnectionReset.into()));
+        }
         Poll::Ready(self.allowance.take(read))
     }
 }
@@ -98,7 +124,8 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = ready!(Pin::new(&mut self.stream).poll_write(cx, buf));
+        Poll::Ready(self.accept_reset(written, buf.len()))
     }
 
     fn poll_write_vectored(
@@ -106,7 +133,9 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let written = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, bufs));
+        let length = bufs.iter().map(|buf| buf.len()).sum();
+        Poll::Ready(self.accept_reset(written, length))
     }
 
     fn is_write_vectored(&self) -> bool {
