Sums of prompt tokens saturate

Callers could see a connection that ended without an answer, in builds with overflow checks.

Callers state the number of their prompt tokens, and an entry added those of all requests in flight at a worker without a bound. Two requests of tokens overflowed the sum: with checks, the task of the second connection panicked; without checks, the sum wrapped and a busy worker looked idle.

The sums of tokens and requests, also those with the loads that other entries report, now saturate.

--- a/crates/core/src/relay/upstreams.rs
+++ b/crates/core/src/relay/upstreams.rs
@@ -177,8 +177,8 @@
         let mut sum = self.own;
         for (load, at) in self.peer_loads.values() {
             if now.saturating_duration_since(*at) < REPORT_TTL {
-                sum.in_flight += load.in_flight;
-                sum.unread += load.unread;
+                sum.in_flight = sum.in_flight.saturating_add(load.in_flight);
+                sum.unread = sum.unread.saturating_add(load.unread);
             }
         }
         sum
@@ -419,7 +419,7 @@
     pub fn count_request(&mut self, id: &str, tokens: u32) {
         if let Some(state) = self.upstreams.get_mut(id) {
             state.own.in_flight += 1;
-            state.own.unread += tokens;
+            state.own.unread = state.own.unread.saturating_add(tokens);
             state.sent_since_report += 1;
         }
     }
--- a/crates/core/tests/relay/upstreams.rs
+++ b/crates/core/tests/relay/upstreams.rs
@@ -1,9 +1,11 @@
 //! The directory of upstreams: load, ejection, and removal from the list.
 
+use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use agatepin_core::relay::upstreams::{
-    EngineReport, FAILURES_TO_EJECT, MIN_EJECTION, REPORT_TTL, SendOutcome, UpstreamDirectory,
+    EngineReport, EntryLoad, FAILURES_TO_EJECT, MIN_EJECTION, REPORT_TTL, SendOutcome,
+    UpstreamDirectory,
 };
 
 use super::setups::listing;
@@ -41,6 +43,26 @@
     assert!(is_usable(&upstreams, now));
 }
 
+/// Guards against an overflow in the sum of prompt tokens, whose numbers callers state: it ended the
+/// request without an answer in builds with checks, and showed a busy upstream as idle in others.
+#[test]
+fn the_largest_numbers_of_prompt_tokens_add_up_to_the_largest_number() {
+    let now = Instant::now();
+    let mut upstreams = upstreams(now);
+    for _ in 0..2 {
+        upstreams.count_request(ID, u32::MAX);
+    }
+    let peer_load = EntryLoad {
+        in_flight: u32::MAX,
+        unread: u32::MAX,
+    };
+    let peer_loads = HashMap::from([(ID.to_owned(), peer_load)]);
+    upstreams.record_peer_loads(&"front-2".to_owned(), &peer_loads, now);
+    let state = upstreams.get(ID).unwrap();
+    assert_eq!(state.unread(now), u32::MAX);
+    assert_eq!(state.load(now), u32::MAX);
+}
+
 #[test]
 fn an_unlisted_upstream_is_removed_at_once() {
     let mut upstreams = upstreams(Instant::now());
