--- a/crates/agatepin/src/relay/attempt.rs
+++ b/crates/agatepin/src/relay/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt of a request: sends it to one upstream and checks the head of the answer.
 
 use std::cell::Cell;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use agatepin_core::ids::UpstreamId;
@@ -63,6 +64,9 @@
     Unreachable,
     /// The request may have run; the text gives the cause.
     MayHaveRun(&'static str),
+    /// The upstream was silent, and the request may have run. The guard holds a slot at the upstream
+    /// that replaces it.
+    Replaced(SlotGuard),
     /// The deadline of the request passed before its answer arrived.
     TimeUp,
 }
@@ -119,12 +123,15 @@
     /// answer begins, then 0.
     unread: u32,
     /// Outcome that is recorded on drop.
-    outcome: SendOutcome,
+    outcome: OutcomeCell,
     /// Reports what the attempt shows of the parts of the request's prompt; none if nothing is to be
     /// reported.
     witness: Option<AttemptWitness>,
 }
 
+/// Outcome of an attempt so far, shared between the attempt and the task that waits for it.
+pub type OutcomeCell = Rc<Cell<SendOutcome>>;
+
 impl SlotGuard {
     /// Creates the guard of a request of `prompt_tokens` tokens that admission counted at
     /// `upstream`.
@@ -134,7 +141,7 @@
             fleet,
             upstream,
             unread: prompt_tokens,
-            outcome: SendOutcome::Abandoned,
+            outcome: Rc::new(Cell::new(SendOutcome::Abandoned)),
             witness: None,
         }
     }
@@ -146,6 +153,12 @@
         self
     }
 
+    /// The outcome that is recorded on drop, for whoever gives up the attempt that holds this guard.
+    #[must_use]
+    pub fn outcome(&self) -> OutcomeCell {
+        self.outcome.clone()
+    }
+
     /// Records that the answer began, so that the request's prompt has been prefilled.
     pub fn answer_started(&mut self) {
         if let Some(witness) = &self.witness {
@@ -160,7 +173,7 @@
     /// Records that the connection to the upstream broke before the answer began, as it does when the
     /// upstream crashes.
     pub fn record_break(&mut self) {
-        self.outcome = SendOutcome::Failed;
+        self.outcome.set(SendOutcome::Failed);
         if let Some(witness) = &self.witness {
             witness.record_crash(&self.upstream);
         }
@@ -168,7 +181,7 @@
 
     /// Sets the outcome that is recorded on drop; [`SendOutcome::Abandoned`] if never set.
     pub fn set_outcome(&mut self, outcome: SendOutcome) {
-        self.outcome = outcome;
+        self.outcome.set(outcome);
     }
 
     /// Id of the upstream whose slot the request takes.
@@ -181,7 +194,7 @@
 impl Drop for SlotGuard {
     fn drop(&mut self) {
         let now = Instant::now();
-        let (upstream, outcome, unread) = (&self.upstream, self.outcome, self.unread);
+        let (upstream, outcome, unread) = (&self.upstream, self.outcome.get(), self.unread);
         self.fleet.with(|fleet| {
             fleet
                 .upstreams
--- a/crates/agatepin/src/relay/call.rs
+++ b/crates/agatepin/src/relay/call.rs
@@ -20,7 +20,7 @@
 use crate::relay::admit::{AdmissionCriteria, EntryIdentity, admit};
 use crate::relay::answer_buffer::{AnswerBuffers, BufferError};
 use crate::relay::attempt::{
-    self, AttemptFailure, ForwardedRequest, OpenAnswer, SlotGuard, send_once,
+    self, AttemptFailure, ForwardedRequest, OpenAnswer, OutcomeCell, SlotGuard, send_once,
 };
 use crate::relay::body::{BODY_QUEUE_PARTS, ReplyBody};
 use crate::relay::caller_body::CallerBody;
@@ -35,9 +35,12 @@
 use crate::relay::refusal::{self, RefusalReason};
 use crate::relay::stream::{self, EmptyAnswer, OpenStream, StreamResume};
 
-/// Longest wait for the head of an upstream's answer, and then for the first event of its stream, if
-/// the request may be retried at another upstream. Callers disconnect after 2 s without data.
+/// Time without the head of an upstream's answer, and then without the first event of its stream, after
+/// which another upstream is sought if the request may be retried. Callers disconnect after 2 s
+/// without data.
 const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1_600);
+/// Pause between two searches for an upstream that can replace a silent one.
+const REPLACEMENT_INTERVAL: Duration = Duration::from_millis(100);
 /// Number of failed connections to upstreams after which one request is refused.
 const MAX_FAILED_CONNECTIONS: usize = 3;
 /// Minimum time left until the request's deadline for an attempt to be started.
@@ -73,6 +76,22 @@
     parts: PartWatch,
 }
 
+impl CallState {
+    /// Time until the deadline.
+    fn time_left(&self) -> Duration {
+        let deadline = self.request.deadline;
+        deadline.saturating_duration_since(Instant::now())
+    }
+}
+
+/// Attempts of a request up to the current one.
+struct PastAttempts<'call> {
+    /// Upstreams of the attempts, the current one included; they are not tried again.
+    tried: &'call [UpstreamId],
+    /// Whether the route allows another attempt.
+    may_replace: bool,
+}
+
 /// Relays callers' requests to upstreams.
 pub struct CallRelay<Store, Dialect> {
     /// Translates between the platform's formats and the types of this module.
@@ -258,27 +277,37 @@
         let mut unreachable = 0;
         // Once the request may have run somewhere, no refusal may state that it has not.
         let mut may_have_run = false;
+        // Slot for the next attempt, if the last upstream was replaced.
+        let mut replacement = None;
         loop {
-            let slot = tokio::select! {
-                biased;
-                slot = self.acquire_slot(&call, &tried) => slot,
-                () = self.fleet.stopping.cancelled() => Err(RefusalReason::Leaving),
+            let slot = if let Some(slot) = replacement.take() {
+                Ok(slot)
+            } else {
+                tokio::select! {
+                    biased;
+                    slot = self.acquire_slot(&call, &tried) => slot,
+                    () = self.fleet.stopping.cancelled() => Err(RefusalReason::Leaving),
+                }
             };
             let slot = match slot {
                 Ok(slot) => slot,
                 Err(_) if may_have_run => return refuse(record, RefusalReason::Broken),
                 Err(reason) => return self.refuse_not_run(&call, record, reason),
             };
-            let upstream = slot.upstream().clone();
-            record.sent_to.push(upstream.clone());
+            record.sent_to.push(slot.upstream().clone());
+            tried.push(slot.upstream().clone());
+            let sent = tried.len() - unreachable;
+            let attempts = PastAttempts {
+                tried: &tried,
+                may_replace: sent < call.route.max_attempts as usize,
+            };
             let answered = tokio::select! {
                 biased;
-                answered = self.attempt(&call, slot, tried.is_empty()) => answered,
+                answered = self.attempt(&call, &attempts, slot) => answered,
                 () = self.fleet.stopping.cancelled() => Err(AttemptFailure::TimeUp),
             };
             let failure = match answered {
                 Ok(ForwardedAnswer::Stream(stream, head)) => {
-                    tried.push(upstream);
                     call.parts.end_trial();
                     return self.forward_stream(call, record, tried, *stream, &head);
                 }
@@ -291,9 +320,11 @@
             if matches!(failure, AttemptFailure::Unreachable) {
                 unreachable += 1;
             }
-            tried.push(upstream);
             let sent = tried.len() - unreachable;
-            may_have_run |= matches!(failure, AttemptFailure::MayHaveRun(_));
+            may_have_run |= matches!(
+                failure,
+                AttemptFailure::MayHaveRun(_) | AttemptFailure::Replaced(_)
+            );
             match self.retry_decision(&call, &failure, sent, unreachable) {
                 RetryDecision::Retry => {}
                 RetryDecision::Refuse(RefusalReason::TimeUp) => {
@@ -304,23 +335,35 @@
                 }
                 RetryDecision::Refuse(reason) => return self.refuse_not_run(&call, record, reason),
             }
+            if let AttemptFailure::Replaced(slot) = failure {
+                replacement = Some(slot);
+            }
         }
     }
 
-    /// Sends a request to the upstream of `slot` and reads its answer: completely, or to the first event
-    /// of a stream. `first` is set on the first attempt.
+    /// Sends a request to the upstream of `slot`, the last of `attempts`, and reads its answer:
+    /// completely, or to the first event of a stream.
     async fn attempt(
         &self,
         call: &CallState,
+        attempts: &PastAttempts<'_>,
         slot: SlotGuard,
-        first: bool,
     ) -> Result<ForwardedAnswer, AttemptFailure> {
-        let answer = self.send(call, slot).await?;
+        let after = call.last_event;
+        let answer = self.send(call, after, attempts, slot).await?;
         if is_event_stream(call, &answer) {
-            let (stream, head) = self.open_stream(call, answer).await?;
+            // A caller that has all events of a stream asks for a rest that is empty.
+            let empty = if after.is_some() && stream::has_marked_end(&answer.response) {
+                EmptyAnswer::Complete
+            } else {
+                EmptyAnswer::Broken
+            };
+            let opened = self.open_stream(call, after, attempts, answer, empty);
+            let (stream, head) = opened.await?;
             return Ok(ForwardedAnswer::Stream(Box::new(stream), head));
         }
-        let response = self.buffer_answer(call, answer, first).await?;
+        let is_first = attempts.tried.len() == 1;
+        let response = self.buffer_answer(call, answer, is_first).await?;
         Ok(ForwardedAnswer::Whole(response))
     }
 
@@ -383,33 +426,94 @@
         Ok(slot.with_witness(witness))
     }
 
-    /// Sends the request to the upstream of `slot` and waits for the head of the answer: as long as
-    /// for a first event if the request may be retried, else until its deadline.
-    async fn send(&self, call: &CallState, slot: SlotGuard) -> Result<OpenAnswer, AttemptFailure> {
-        let left = call
-            .request
-            .deadline
-            .saturating_duration_since(Instant::now());
+    /// Sends the request to the upstream of `slot` and waits for the head of the answer. `after` is the
+    /// id of the event after which a stream is to be resumed.
+    async fn send(
+        &self,
+        call: &CallState,
+        after: Option<u64>,
+        attempts: &PastAttempts<'_>,
+        slot: SlotGuard,
+    ) -> Result<OpenAnswer, AttemptFailure> {
         let wait_limit = if call.route.kind.is_retryable() {
-            self.first_event_timeout(&slot, left)
+            self.wait_limit(call, &slot)
         } else {
-            left
+            call.time_left()
         };
+        let outcome = slot.outcome();
         let (dialect, fleet, metrics) = (&self.dialect, &self.fleet, &self.metrics);
-        let (request, last) = (&call.request, call.last_event);
-        send_once(dialect, fleet, metrics, request, last, wait_limit, slot).await
+        let sent = send_once(
+            dialect,
+            fleet,
+            metrics,
+            &call.request,
+            after,
+            wait_limit,
+            slot,
+        );
+        self.wait_or_replace(call, attempts, &outcome, sent).await
     }
 
-    /// Longest wait for the answer's head or first event, if the request may be retried: until the upstream counts
-    /// as unresponsive, or until the weights that it holds may no longer serve. At most `left`.
-    fn first_event_timeout(&self, slot: &SlotGuard, left: Duration) -> Duration {
+    /// Longest wait for an answer's head or first event: until the deadline, or until the weights that
+    /// the upstream of `slot` holds may no longer serve.
+    fn wait_limit(&self, call: &CallState, slot: &SlotGuard) -> Duration {
         let now = Instant::now();
         let weights_deadline = self
             .fleet
             .with(|fleet| fleet.weights_deadline(slot.upstream(), now));
         let weights_left = weights_deadline.map(|deadline| deadline.saturating_duration_since(now));
-        left.min(FIRST_EVENT_TIMEOUT)
-            .min(weights_left.unwrap_or(left))
+        let left = call.time_left();
+        left.min(weights_left.unwrap_or(left))
+    }
+
+    /// Waits for `attempt`, the last of `attempts`. Once it has been silent for
+    /// [`FIRST_EVENT_TIMEOUT`], it is given up as soon as another upstream has a slot for the request;
+    /// without one, the wait goes on. `outcome` is the outcome of the attempt.
+    async fn wait_or_replace<Attempt, Out>(
+        &self,
+        call: &CallState,
+        attempts: &PastAttempts<'_>,
+        outcome: &OutcomeCell,
+        attempt: Attempt,
+    ) -> Result<Out, AttemptFailure>
+    where
+        Attempt: Future<Output = Result<Out, AttemptFailure>>,
+    {
+        let mut attempt = std::pin::pin!(attempt);
+        if let Ok(ended) = timeout(FIRST_EVENT_TIMEOUT, attempt.as_mut()).await {
+            return ended;
+        }
+        if call.route.kind.is_retryable() {
+            outcome.set(SendOutcome::Failed);
+        }
+        tokio::select! {
+            ended = attempt => ended,
+            Some(slot) = self.acquire_replacement(call, attempts) => {
+                let (request, upstream) = (&call.request.id, slot.upstream());
+                log::info!(request, upstream; "silent upstream replaced");
+                Err(AttemptFailure::Replaced(slot))
+            }
+        }
+    }
+
+    /// Takes a retry and a slot for it, as soon as one is free. None if the request must not be retried
+    /// or has no time left for it.
+    async fn acquire_replacement(
+        &self,
+        call: &CallState,
+        attempts: &PastAttempts<'_>,
+    ) -> Option<SlotGuard> {
+        let may_replace = attempts.may_replace && call.route.kind.is_retryable();
+        if !may_replace || !self.try_take_retry(call, Instant::now()) {
+            return None;
+        }
+        loop {
+            match self.acquire_slot(call, attempts.tried).await {
+                Ok(slot) => return Some(slot),
+                Err(RefusalReason::TimeUpUnsent) => return None,
+                Err(_) => tokio::time::sleep(REPLACEMENT_INTERVAL).await,
+            }
+        }
     }
 
     /// Decides whether a request is retried after an attempt failed. `sent` counts the attempts
@@ -429,6 +533,7 @@
             }
             AttemptFailure::Unreachable => return RetryDecision::Refuse(RefusalReason::NoUpstream),
             AttemptFailure::TimeUp => return RetryDecision::Refuse(RefusalReason::TimeUp),
+            AttemptFailure::Replaced(_) => return RetryDecision::Retry,
             AttemptFailure::NotRun(_) => RefusalReason::NotRun,
             AttemptFailure::MayHaveRun(reason)
                 if !call.route.kind.is_retryable()
@@ -455,28 +560,28 @@
         })
     }
 
-    /// Waits for the first event of an answer. Returns the stream and the headers of the answer.
+    /// Waits for the first event after `after` of an answer, which stands for `empty` if it ends without
+    /// one. Returns the stream and the headers of the answer.
     async fn open_stream(
         &self,
         call: &CallState,
+        after: Option<u64>,
+        attempts: &PastAttempts<'_>,
         answer: OpenAnswer,
+        empty: EmptyAnswer,
     ) -> Result<(OpenStream, HeaderMap), AttemptFailure> {
         let headers = answer.response.headers().clone();
-        let left = call
-            .request
-            .deadline
-            .saturating_duration_since(Instant::now());
-        let wait_limit = self.first_event_timeout(&answer.slot, left);
-        // A caller that has all events of a stream asks for a rest that is empty.
-        let empty = if call.last_event.is_some() && stream::has_marked_end(&answer.response) {
-            EmptyAnswer::Complete
-        } else {
-            EmptyAnswer::Broken
+        let wait_limit = self.wait_limit(call, &answer.slot);
+        let outcome = answer.slot.outcome();
+        let opened = async {
+            let opened = stream::open_stream(answer, after, wait_limit, empty).await;
+            opened.map_err(|reason| match call.time_left() {
+                Duration::ZERO => AttemptFailure::TimeUp,
+                _ => AttemptFailure::MayHaveRun(reason),
+            })
         };
-        match stream::open_stream(answer, call.last_event, wait_limit, empty).await {
-            Ok(stream) => Ok((stream, headers)),
-            Err(reason) => Err(AttemptFailure::MayHaveRun(reason)),
-        }
+        let stream = self.wait_or_replace(call, attempts, &outcome, opened);
+        Ok((stream.await?, headers))
     }
 
     /// Starts a task that forwards the events of a stream, and returns the answer for the caller,
@@ -513,34 +618,40 @@
         tried: &mut Vec<UpstreamId>,
         last: Option<u64>,
     ) -> Option<OpenStream> {
-        while tried.len() < call.route.max_attempts as usize {
-            if !call.parts.is_clear() || !self.try_take_retry(call, Instant::now()) {
-                return None;
-            }
-            let slot = self.acquire_slot(call, tried).await.ok()?;
+        let after = last.or(call.last_event);
+        let max_attempts = call.route.max_attempts as usize;
+        let mut replacement = None;
+        loop {
+            let slot = match replacement.take() {
+                Some(slot) => slot,
+                None if tried.len() >= max_attempts || !call.parts.is_clear() => return None,
+                None if !self.try_take_retry(call, Instant::now()) => return None,
+                None => self.acquire_slot(call, tried).await.ok()?,
+            };
             tried.push(slot.upstream().clone());
-            let left = call
-                .request
-                .deadline
-                .saturating_duration_since(Instant::now());
-            let wait_limit = self.first_event_timeout(&slot, left);
-            let (dialect, fleet, metrics) = (&self.dialect, &self.fleet, &self.metrics);
-            let (request, after) = (&call.request, last.or(call.last_event));
-            let sent = send_once(dialect, fleet, metrics, request, after, wait_limit, slot);
-            let Ok(answer) = sent.await else {
-                continue;
+            let attempts = PastAttempts {
+                tried,
+                may_replace: tried.len() < max_attempts,
             };
-            if !answer.response.status().is_success() {
-                continue;
-            }
-            // Without an event, nothing shows that the caller has the whole stream.
-            let opened = stream::open_stream(answer, after, wait_limit, EmptyAnswer::Broken);
-            if let Ok(stream) = opened.await {
-                call.parts.end_trial();
-                return Some(stream);
+            let opened = async {
+                let answer = self.send(call, after, &attempts, slot).await?;
+                if !answer.response.status().is_success() {
+                    return Err(AttemptFailure::MayHaveRun("no stream"));
+                }
+                // Without an event, nothing shows that the caller has the whole stream.
+                let empty = EmptyAnswer::Broken;
+                self.open_stream(call, after, &attempts, answer, empty)
+                    .await
+            };
+            match opened.await {
+                Ok((stream, _)) => {
+                    call.parts.end_trial();
+                    return Some(stream);
+                }
+                Err(AttemptFailure::Replaced(slot)) => replacement = Some(slot),
+                Err(_) => {}
             }
         }
-        None
     }
 
     /// Reads an answer completely before any of it is forwarded. A server error on the first
