A stream without event ids is not begun again

What callers saw: after a stream whose events have no ids had broken off, the events of another run from its start, joined to those that they had.

Cause: without an id of the last event, the stream was resumed without saying where to go on.

Change: such a stream breaks off.

Measured: the test got the first event twice and the last chunk before; the stream breaks off now.

--- a/crates/agatepin/src/relay/call.rs
+++ b/crates/agatepin/src/relay/call.rs
@@ -505,13 +505,12 @@
     }
 
     /// Resumes a broken stream after the event `last` at an upstream that is not in `tried`, and adds
-    /// the upstream of each further attempt to `tried`. Without `last`, resumes after the last event
-    /// that the caller stated, if any. Returns none if no further attempt is possible.
+    /// the upstream of each further attempt to `tried`. Returns none if no further attempt is possible.
     pub async fn resume(
         &self,
         call: &CallState,
         tried: &mut Vec<UpstreamId>,
-        last: Option<u64>,
+        last: u64,
     ) -> Option<OpenStream> {
         while tried.len() < call.route.max_attempts as usize {
             if !self.try_take_retry(call, Instant::now()) {
@@ -525,7 +524,7 @@
                 .saturating_duration_since(Instant::now());
             let wait_limit = self.first_event_timeout(&slot, left);
             let (dialect, fleet, metrics) = (&self.dialect, &self.fleet, &self.metrics);
-            let (request, after) = (&call.request, last.or(call.last_event));
+            let (request, after) = (&call.request, Some(last));
             let sent = send_once(dialect, fleet, metrics, request, after, wait_limit, slot);
             let Ok(answer) = sent.await else {
                 continue;
--- a/crates/agatepin/src/relay/stream.rs
+++ b/crates/agatepin/src/relay/stream.rs
@@ -212,8 +212,9 @@
     Dialect: WireDialect,
 {
     /// Resumes the stream after the event `last`, unless the request must not be retried or its
-    /// deadline has passed.
+    /// deadline has passed. Without an id, nothing says where to go on.
     async fn try_resume(&mut self, last: Option<u64>, reason: &str) -> Option<OpenStream> {
+        let last = last?;
         if !self.call.route.kind.is_retryable() || reason == TIME_UP {
             return None;
         }
