--- a/crates/agatepin/src/relay/call.rs
+++ b/crates/agatepin/src/relay/call.rs
@@ -610,15 +610,14 @@
     }
 
     /// Resumes a broken stream after the event `last` at an upstream that is not in `tried`, and adds
-    /// the upstream of each further attempt to `tried`. Without `last`, resumes after the last event
-    /// that the caller stated, if any. Returns none if no further attempt is possible.
+    /// the upstream of each further attempt to `tried`. Returns none if no further attempt is possible.
     pub async fn resume(
         &self,
         call: &CallState,
         tried: &mut Vec<UpstreamId>,
-        last: Option<u64>,
+        last: u64,
     ) -> Option<OpenStream> {
-        let after = last.or(call.last_event);
+        let after = Some(last);
         let max_attempts = call.route.max_attempts as usize;
         let mut replacement = None;
         loop {
