Entry: the timer of a connection reads its limits when a phase begins or would end

It kept a copy of the limits at the start of each phase and took the larger of both. Reading them again only at the end does the same with one value less.

--- a/crates/agatepin/src/relay/connection_timer.rs
+++ b/crates/agatepin/src/relay/connection_timer.rs
@@ -68,15 +68,15 @@
         Rc::new(RequestGuard(self.clone()))
     }
 
-    /// Waits until the connection has exceeded a limit of `source`. A limit that is lowered in a
-    /// phase does not shorten it, since the caller may not know the lower one yet.
+    /// Waits until the connection has exceeded a limit of `source`. Limits are read when a phase
+    /// begins and when it would end: a limit that is lowered meanwhile does not shorten the phase,
+    /// since the caller may not know the lower one yet.
     pub async fn expired<Source>(&self, source: Source)
     where
         Source: TimeoutSource,
     {
-        let mut initial = source.timeouts();
         loop {
-            let deadline = self.deadline(initial, source.timeouts());
+            let deadline = self.deadline(source.timeouts());
             if deadline.is_some_and(|deadline| deadline <= Instant::now()) {
                 return;
             }
@@ -87,19 +87,18 @@
                 }
             };
             tokio::select! {
-                () = self.phase_changed.notified() => initial = source.timeouts(),
+                () = self.phase_changed.notified() => {}
                 () = until_deadline => {}
             }
         }
     }
 
-    /// Time at which the phase ends, if it is limited, by the limits at its start or the current
-    /// ones.
-    fn deadline(&self, initial: CallerTimeouts, current: CallerTimeouts) -> Option<Instant> {
+    /// Time at which the phase ends, if it is limited.
+    fn deadline(&self, limits: CallerTimeouts) -> Option<Instant> {
         let limit = match self.phase.get() {
             TimerPhase::Request => return None,
-            TimerPhase::Idle => initial.idle.max(current.idle),
-            TimerPhase::Head => initial.head.max(current.head),
+            TimerPhase::Idle => limits.idle,
+            TimerPhase::Head => limits.head,
         };
         Some(self.since.get() + limit + TRANSIT_TIME)
     }
