Entry of links: the refusal of a long body reaches its caller

A caller whose body exceeds the limit or does not arrive in time could not send the rest: its connection was reset, before it had read the 413.

Cause: the read side of the connection was shut down with the refusal, which ends the time in which actix reads on and discards; the socket was closed with unread input.

--- a/crates/agatepin/tests/http_limits.rs
+++ b/crates/agatepin/tests/http_limits.rs
@@ -82,6 +82,35 @@
     entry.stop_now().await;
 }
 
+/// Guards against callers whose connection is reset before they have sent their request and read
+/// the refusal.
+#[rstest]
+#[case::length("connection: close\r\ncontent-length: 3000", "x".repeat(1_000))]
+#[case::large("content-length: 12000000", "x".repeat(4_000_000))]
+#[case::kept("content-length: 3000", "x".repeat(1_000))]
+#[case::chunks("transfer-encoding: chunked", format!("3e8\r\n{}\r\n", "x".repeat(1_000)))]
+#[actix::test]
+async fn a_caller_of_a_long_body_can_send_it_and_gets_the_refusal(
+    #[case] headers: &str,
+    #[case] part: String,
+) {
+    let entry = start().await;
+    let mut stream = TcpStream::connect(entry.ready().http).await.unwrap();
+    stream.set_nodelay(true).unwrap();
+    let head = format!("POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n{headers}\r\n\r\n");
+    stream.write_all(head.as_bytes()).await.unwrap();
+    for _ in 0..3 {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        stream.write_all(part.as_bytes()).await.unwrap();
+    }
+    let mut answer = String::new();
+    let reading = stream.read_to_string(&mut answer);
+    let read = tokio::time::timeout(DEADLINE, reading).await;
+    read.expect("the connection was not closed").unwrap();
+    assert!(answer.starts_with("HTTP/1.1 413 "), "{answer}");
+    entry.stop_now().await;
+}
+
 /// `AGATEPIN_TOKEN` is for the operator RPC service of the entries: the command must not send it to
 /// an admin page.
 #[rstest]
