Entry: the end of a refused body is not the end of the next request

What callers saw: after a refusal on a kept connection, a request whose head came together with the rest of the refused body was cut without an answer once it took longer than the head limit.

Cause: the guard of the refused request is dropped when the rest of its body has been discarded, after the next request has begun, and made its connection idle.

Change: guards are numbered, and only that of the latest request makes the connection idle.

--- a/crates/agatepin/src/relay/connection_timer.rs
+++ b/crates/agatepin/src/relay/connection_timer.rs
@@ -45,6 +45,8 @@
 /// Timer of one connection.
 pub struct ConnectionTimer {
     phase: Cell<TimerPhase>,
+    /// Number of requests that have begun.
+    requests: Cell<u64>,
     /// Start of the phase, or the last progress of an answer that is still sent in it.
     since: Cell<Instant>,
     phase_changed: Notify,
@@ -56,6 +58,7 @@
     pub fn start() -> Rc<Self> {
         Rc::new(Self {
             phase: Cell::new(TimerPhase::Idle),
+            requests: Cell::new(0),
             since: Cell::new(Instant::now()),
             phase_changed: Notify::new(),
         })
@@ -64,8 +67,13 @@
     /// Stops the timer while the guard, shared by a request's body and its answer, exists.
     #[must_use]
     pub fn begin_request(self: &Rc<Self>) -> Rc<RequestGuard> {
+        let number = self.requests.get() + 1;
+        self.requests.set(number);
         self.enter(TimerPhase::Request);
-        Rc::new(RequestGuard(self.clone()))
+        Rc::new(RequestGuard {
+            timer: self.clone(),
+            number,
+        })
     }
 
     /// Waits until the connection has exceeded a limit of `source`. Limits are read when a phase
@@ -111,11 +119,18 @@
 }
 
 /// Guard of a request that is received or answered; its drop makes the connection idle.
-pub struct RequestGuard(Rc<ConnectionTimer>);
+pub struct RequestGuard {
+    timer: Rc<ConnectionTimer>,
+    /// Number of the request on its connection.
+    number: u64,
+}
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        self.0.enter(TimerPhase::Idle);
+        // The next request may begin before the rest of this one's body is discarded.
+        if self.timer.requests.get() == self.number {
+            self.timer.enter(TimerPhase::Idle);
+        }
     }
 }
 
