A part stays in quarantine however many trials end

What callers saw: after eight trials of a suspected part within 4 s, all requests with it ran at once, each able to crash a worker.

Cause: trials that are over are kept too, and one that found no room was begun without a record. Requests began their trial before they had a slot, so that each refusal for want of one was a trial.

Change: the oldest trial that is over makes room for a new one, and a trial begins once the request has a slot.

--- a/crates/agatepin/src/relay/call.rs
+++ b/crates/agatepin/src/relay/call.rs
@@ -269,7 +269,7 @@
         if admission == SuspectAdmission::Refuse {
             return refuse(record, RefusalReason::Suspect);
         }
-        if let Err(reason) = call.parts.admit() {
+        if let Err(reason) = call.parts.check() {
             return self.refuse_not_run(&call, record, reason);
         }
         // Upstreams of all attempts, and the number of attempts without a connection.
@@ -415,7 +415,7 @@
         }
         let upstream = admit(&self.fleet, &self.identity, &criteria).await?;
         let slot = SlotGuard::new(self.fleet.clone(), upstream, call.prompt_tokens);
-        // A part may have become a suspect while the request waited.
+        // A part may have become a suspect while the request waited. A trial begins only once it can run.
         call.parts.admit()?;
         self.metrics.record_attempt(&call.service);
         self.fleet.unreported.set(true);
--- a/crates/agatepin/src/relay/part_watch.rs
+++ b/crates/agatepin/src/relay/part_watch.rs
@@ -57,12 +57,27 @@
         }
     }
 
-    /// Checks whether the request may run, unless it is a trial already. It becomes one if that is
-    /// how it may run.
+    /// Checks whether the request may run now.
     ///
     /// # Errors
     /// [`RefusalReason::SuspectPart`] if another request is a trial now, and
     /// [`RefusalReason::CrashingPart`] if a part crashes upstreams.
+    pub fn check(&self) -> Result<(), RefusalReason> {
+        if self.parts.is_empty() {
+            return Ok(());
+        }
+        let now = Instant::now();
+        let admission = self
+            .fleet
+            .with(|fleet| fleet.parts.admission(&self.parts, now));
+        refusal(&admission).map_or(Ok(()), Err)
+    }
+
+    /// Checks whether the request may be sent now, unless it is a trial already. It becomes one if
+    /// that is how it may run.
+    ///
+    /// # Errors
+    /// As those of [`Self::check`].
     pub fn admit(&self) -> Result<(), RefusalReason> {
         let mut trial = self.trial.borrow_mut();
         if self.parts.is_empty() || trial.is_some() {
@@ -71,11 +86,11 @@
         let id = rand::random();
         let now = Instant::now();
         let admission = change_parts(&self.fleet, |parts| parts.admit(&self.parts, id, now));
-        match admission {
-            PartAdmission::Clear => {}
-            PartAdmission::Trial(parts) => *trial = Some((id, parts.into())),
-            PartAdmission::OnTrial(_) => return Err(RefusalReason::SuspectPart),
-            PartAdmission::Refused(_) => return Err(RefusalReason::CrashingPart),
+        if let Some(reason) = refusal(&admission) {
+            return Err(reason);
+        }
+        if let PartAdmission::Trial(parts) = admission {
+            *trial = Some((id, parts.into()));
         }
         Ok(())
     }
@@ -112,6 +127,15 @@
     }
 }
 
+/// Reason for which a request is refused; none if it may run.
+fn refusal(admission: &PartAdmission) -> Option<RefusalReason> {
+    match admission {
+        PartAdmission::Clear | PartAdmission::Trial(_) => None,
+        PartAdmission::OnTrial(_) => Some(RefusalReason::SuspectPart),
+        PartAdmission::Refused(_) => Some(RefusalReason::CrashingPart),
+    }
+}
+
 impl Drop for PartWatch {
     fn drop(&mut self) {
         self.end_trial();
--- a/crates/core/src/relay/part_evidence.rs
+++ b/crates/core/src/relay/part_evidence.rs
@@ -152,13 +152,23 @@
             known.over |= trial.over;
             return changed;
         }
-        if self.trials.len() >= MAX_TRIALS {
+        if self.trials.len() >= MAX_TRIALS && !self.drop_first_ended_trial() {
             return false;
         }
         self.trials.insert(id, trial);
         true
     }
 
+    /// Forgets the trial that started first of those that are over. Returns false if none is.
+    fn drop_first_ended_trial(&mut self) -> bool {
+        let ended = self.trials.iter().filter(|(_, trial)| trial.over);
+        let Some((id, _)) = ended.min_by_key(|(id, trial)| (trial.started, **id)) else {
+            return false;
+        };
+        let id = *id;
+        self.trials.remove(&id).is_some()
+    }
+
     /// Forgets what is too old to matter. Returns whether anything is left.
     pub fn expire(&mut self, now: Instant) -> bool {
         if !self.has_recent_crash(now) {
--- a/crates/core/src/relay/part_tracker.rs
+++ b/crates/core/src/relay/part_tracker.rs
@@ -110,6 +110,16 @@
     /// Decides whether a request with these `parts` may run, and starts the trial `trial` of those
     /// that are quarantined.
     pub fn admit(&mut self, parts: &[PartKey], trial: TrialId, now: Instant) -> PartAdmission {
+        let admission = self.admission(parts, now);
+        if let PartAdmission::Trial(suspects) = &admission {
+            self.mark_trial(suspects, trial, false, now);
+        }
+        admission
+    }
+
+    /// Whether a request with these `parts` may run now.
+    #[must_use]
+    pub fn admission(&self, parts: &[PartKey], now: Instant) -> PartAdmission {
         let mut suspects = Vec::new();
         let mut on_trial = None;
         let mut incriminated = 0;
@@ -137,7 +147,6 @@
         if suspects.is_empty() {
             return PartAdmission::Clear;
         }
-        self.mark_trial(&suspects, trial, false, now);
         PartAdmission::Trial(suspects)
     }
 
--- a/crates/core/tests/relay/parts.rs
+++ b/crates/core/tests/relay/parts.rs
@@ -146,6 +146,25 @@
     );
 }
 
+/// Guards against a quarantine that ends because many trials ended within a short time, as they do
+/// when no upstream takes them.
+#[test]
+fn a_part_stays_in_quarantine_after_many_short_trials() {
+    let mut entry = Entry::new();
+    entry.crash(&["deadly"], 1, 0, 1, &[]);
+    let parts = keys(&["deadly"]);
+    let now = entry.at(2);
+    for trial in 0..20 {
+        let admission = entry.tracker.admit(&parts, trial, now);
+        assert_eq!(admission, PartAdmission::Trial(parts.clone()));
+        entry.tracker.end_trial(&parts, trial, now);
+    }
+    let first = entry.tracker.admit(&parts, 20, now);
+    assert_eq!(first, PartAdmission::Trial(parts.clone()));
+    let second = entry.tracker.admit(&parts, 21, now);
+    assert_eq!(second, PartAdmission::OnTrial(key("deadly")));
+}
+
 #[test]
 fn a_refused_part_is_tried_again_later_and_later() {
     let mut entry = Entry::new();
