An answer that ends with its connection before an event is a crash in all respects

What callers saw: a request with a deadly part crashed a second worker, if the first one had sent the head of an answer without a length.

Cause: the break was evidence against the part, but the decision on a retry took it for an empty answer.

Change: both see a broken connection.

Measured: the new test counted two crashes before, and counts one now.

--- a/crates/agatepin/src/relay/stream.rs
+++ b/crates/agatepin/src/relay/stream.rs
@@ -116,13 +116,12 @@
             stream.slot.set_outcome(SendOutcome::Answered);
             return Ok(stream);
         }
-        Ok(StreamStep::End) => {
-            // Without a mark of its end, an answer that broke off looks the same.
-            if !marked_end {
-                stream.slot.record_break();
-            }
-            "no event"
+        // Without a mark of its end, an answer that broke off looks the same.
+        Ok(StreamStep::End) if !marked_end => {
+            stream.slot.record_break();
+            "connection broke"
         }
+        Ok(StreamStep::End) => "no event",
         Ok(StreamStep::Broken(reason)) => {
             if is_break(reason) {
                 stream.slot.record_break();
