A retry is taken from the share only once it has a slot

A silent stream that went on by itself, or found no free slot, used up retries of its entry's share that were never sent; one taken early could be sent in a later window. Found by reading; no test shows it by itself.

--- a/crates/agatepin/src/relay/call.rs
+++ b/crates/agatepin/src/relay/call.rs
@@ -496,20 +496,21 @@
         }
     }
 
-    /// Takes a retry and a slot for it, as soon as one is free. None if the request must not be retried
-    /// or has no time left for it.
+    /// Takes a slot for a retry, as soon as one is free, and the retry. None if the request must not be
+    /// retried or has no time left for it.
     async fn acquire_replacement(
         &self,
         call: &CallState,
         attempts: &PastAttempts<'_>,
     ) -> Option<SlotGuard> {
         let may_replace = attempts.may_replace && call.route.kind.is_retryable();
-        if !may_replace || !self.try_take_retry(call, Instant::now()) {
+        if !may_replace {
             return None;
         }
         loop {
             match self.acquire_slot(call, attempts.tried).await {
-                Ok(slot) => return Some(slot),
+                // Without a slot, no retry is taken from the share.
+                Ok(slot) => return self.try_take_retry(call, Instant::now()).then_some(slot),
                 Err(RefusalReason::TimeUpUnsent) => return None,
                 Err(_) => tokio::time::sleep(REPLACEMENT_INTERVAL).await,
             }
@@ -624,8 +625,13 @@
             let slot = match replacement.take() {
                 Some(slot) => slot,
                 None if tried.len() >= max_attempts || !call.parts.is_clear() => return None,
-                None if !self.try_take_retry(call, Instant::now()) => return None,
-                None => self.acquire_slot(call, tried).await.ok()?,
+                None => {
+                    let slot = self.acquire_slot(call, tried).await.ok()?;
+                    if !self.try_take_retry(call, Instant::now()) {
+                        return None;
+                    }
+                    slot
+                }
             };
             tried.push(slot.upstream().clone());
             let attempts = PastAttempts {
