A malformed answer is no crash of its worker

What callers saw: requests with a new part of a prompt were refused after a worker had sent what is no answer.

Cause: each failed exchange counted as a broken connection, also one whose answer cannot be parsed.

Change: it is a failed attempt, and no evidence against parts or requests.

Measured: the new test found the part quarantined before, and unsuspected now.

--- a/crates/agatepin/src/relay/attempt.rs
+++ b/crates/agatepin/src/relay/attempt.rs
@@ -363,7 +363,12 @@
 fn exchange_failure(slot: &mut SlotGuard, request: &str, err: &ExchangeError) -> AttemptFailure {
     // The request was not sent to the upstream, or the connection broke before the answer's head.
     log::info!(request, upstream = slot.upstream, err:%; "send failed");
-    if let ExchangeError::Exchange(_) = err {
+    if let ExchangeError::Exchange(err) = err {
+        slot.set_outcome(SendOutcome::Failed);
+        // An upstream that sends what is no answer has not crashed.
+        if err.is_parse() {
+            return AttemptFailure::MayHaveRun("malformed answer");
+        }
         slot.record_break();
         return AttemptFailure::MayHaveRun("broken exchange");
     }
@@ -372,8 +377,8 @@
 }
 
 /// Version of the weights that the upstream must still hold when it runs the request: the version
-/// in its agent's last report, or else in the list of upstreams, once older versions of the model may no longer serve. None while all versions
-/// may serve, and for upstreams without weights.
+/// in its agent's last report, or else in the list of upstreams, once older versions of the model may
+/// no longer serve. None while all versions may serve, and for upstreams without weights.
 fn expected_weights(
     fleet: &FleetState,
     state: &UpstreamState,
