Entry of links: the refusal of a body says that the connection closes

The read side is shut down a second after the refusal, so that a next request on the connection could lose its end. In chunks the refusal did not say so: the extended test failed for them before, and passes now.

--- a/crates/agatepin/src/entry/http.rs
+++ b/crates/agatepin/src/entry/http.rs
@@ -131,7 +131,7 @@
     let guard = entry.requests.begin();
     let body = match body::read(&request, payload, &entry.shared.settings).await {
         Ok(body) => body,
-        Err(error) => return error.into_response(),
+        Err(error) => return error.into_last_response(),
     };
     let spec = match chat_spec(&request, body, &entry.shared) {
         Ok(spec) => spec,
@@ -152,7 +152,7 @@
     let guard = entry.requests.begin();
     let body = match body::read(&request, payload, &entry.shared.settings).await {
         Ok(body) => body,
-        Err(error) => return error.into_response(),
+        Err(error) => return error.into_last_response(),
     };
     let (service, path) = path.into_inner();
     let spec = match service_spec(&request, &service, &path, body, &entry.shared) {
--- a/crates/agatepin/src/entry/reply.rs
+++ b/crates/agatepin/src/entry/reply.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use actix_web::http::StatusCode;
+use actix_web::http::{ConnectionType, StatusCode};
 use actix_web::{HttpResponse, HttpResponseBuilder};
 use bytes::Bytes;
 use futures_util::stream;
@@ -143,6 +143,16 @@
             .insert_header((OUTCOME_HEADER, self.outcome))
             .json(json!({"error": {"code": self.code, "message": self.message}}))
     }
+
+    /// Converts the error into the last HTTP response on its connection, which says so.
+    #[must_use]
+    pub fn into_last_response(self) -> HttpResponse {
+        let mut response = self.into_response();
+        response
+            .head_mut()
+            .set_connection_type(ConnectionType::Close);
+        response
+    }
 }
 
 /// Starts a response with the status and headers of an upstream's answer, without the headers that
--- a/crates/agatepin/tests/http_limits.rs
+++ b/crates/agatepin/tests/http_limits.rs
@@ -108,6 +108,8 @@
     let read = tokio::time::timeout(DEADLINE, reading).await;
     read.expect("the connection was not closed").unwrap();
     assert!(answer.starts_with("HTTP/1.1 413 "), "{answer}");
+    let announced = answer.to_ascii_lowercase().contains("connection: close");
+    assert!(announced, "{answer}");
     entry.stop_now().await;
 }
 
