--- a/crates/core/src/relay/events.rs
+++ b/crates/core/src/relay/events.rs
@@ -99,8 +99,9 @@
     ///
     /// # Errors
     /// Returns [`EventError::Gap`] if an event id shows that events are missing,
-    /// [`EventError::Malformed`] if an event without an id is none, and [`EventError::TooLong`] or [`EventError::Unnumbered`] if the stream does not look as if another
-    /// numbered event would come. Complete events before the error are returned first.
+    /// [`EventError::Malformed`] if an event without an id is none, and [`EventError::TooLong`] or
+    /// [`EventError::Unnumbered`] if the stream does not look as if another numbered event would
+    /// come. Complete events before the error are returned first.
     pub fn push(&mut self, data: &[u8]) -> Result<EventBatch, EventError> {
         if let Some(error) = &self.error {
             return Err(error.clone());
