Load orders without an answer keep the stage locked until their outcome is known

Cause: an order without an answer within 0.5 s counted as refused. The agent released the stage and staged pieces of the next version; the slow engine then accepted the order and loaded the mixture.

Change: the outcome of an order is begun, in effect, refused or unknown. After an unknown outcome the stage stays locked, gets repairs of the ordered version only, and the order is repeated with the same count of earlier orders, until the engine's state shows an accepted order or a new start.

--- a/crates/agatepin/src/loader/swap.rs
+++ b/crates/agatepin/src/loader/swap.rs
@@ -6,8 +6,10 @@
 
 use agatepin_core::ids::ServiceId;
 use agatepin_core::relay::catalog::WeightsVersion;
+use agatepin_core::relay::load_order::{LoadOrder, OrderStatus};
 use agatepin_core::relay::rollout;
-use eyre::{Result, eyre};
+use bytes::Bytes;
+use eyre::{Result, bail, eyre};
 use tokio::time::sleep;
 
 use crate::loader::cache::VersionPieces;
@@ -15,7 +17,7 @@
 use crate::loader::pieces::PieceFetcher;
 use crate::loader::stage::StageGuard;
 use crate::loader::view::LoadPlan;
-use crate::relay::ports::EnginePort;
+use crate::relay::ports::{EnginePort, OrderOutcome};
 
 /// Interval at which the engine's version and state are checked.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
@@ -101,23 +103,62 @@
         if let Some(held) = state.report.weights {
             self.await_wave(plan, held).await;
         }
+        let pieces = self.pieces(plan)?;
         let guard = self.fetcher.writer.lock().await;
-        self.stage(plan, &guard).await?;
+        self.stage(plan, &pieces, &guard).await?;
         self.swapping.set(true);
         // Staged pieces may have become corrupt since they were staged.
-        let ((), staged) = tokio::join!(self.await_drain(), self.stage(plan, &guard));
+        let ((), staged) = tokio::join!(self.await_drain(), self.stage(plan, &pieces, &guard));
         staged?;
+        self.order(plan, &pieces, &guard).await?;
+        drop(guard);
+        self.await_load(plan.version).await
+    }
+
+    /// Orders the load of the staged pieces. Returns once the engine has accepted the order, and
+    /// fails once it is certain that the engine does not execute it: the stage must have no pieces of
+    /// another version as long as the engine may accept the order, however late.
+    async fn order(&self, plan: &LoadPlan, pieces: &[Bytes], guard: &StageGuard<'_>) -> Result<()> {
         let state = self
             .monitor
             .state()
             .ok_or_else(|| eyre!("the engine does not respond"))?;
-        let (model, version) = (&plan.model, plan.version);
-        let ordered = self.fetcher.engine.load(model, version, state.orders).await;
-        // Records the engine's answer to the load order, also a refusal or a failure (`ordered`).
-        // `orders` is the number of orders that the engine had accepted before.
-        log::info!(model, version, orders = state.orders, ordered:?; "load ordered");
-        ordered.map_err(|err| eyre!("the engine did not accept the load order: {err:?}"))?;
-        self.await_load(version).await
+        let order = LoadOrder::new(state.orders, state.born);
+        match self.attempt(plan, &order).await {
+            OrderOutcome::Begun | OrderOutcome::InEffect => return Ok(()),
+            OrderOutcome::Refused(status) => bail!("the engine refused the load order: {status}"),
+            OrderOutcome::Unknown(_) => {}
+        }
+        loop {
+            sleep(POLL_INTERVAL).await;
+            let Ok(state) = self.fetcher.engine.state().await else {
+                continue;
+            };
+            match order.status(state.orders, state.born) {
+                OrderStatus::Accepted => return Ok(()),
+                OrderStatus::Void => bail!("the engine was started again after the load order"),
+                OrderStatus::Pending => {}
+            }
+            if self.stage(plan, pieces, guard).await.is_err() {
+                continue;
+            }
+            match self.attempt(plan, &order).await {
+                OrderOutcome::Begun | OrderOutcome::InEffect => return Ok(()),
+                // The engine may still accept an earlier attempt, but serves what it has until then.
+                OrderOutcome::Refused(_) => self.swapping.set(false),
+                OrderOutcome::Unknown(_) => {}
+            }
+        }
+    }
+
+    /// Gives the engine a load order once.
+    async fn attempt(&self, plan: &LoadPlan, order: &LoadOrder) -> OrderOutcome {
+        let (model, version, orders) = (&plan.model, plan.version, order.orders());
+        let outcome = self.fetcher.engine.load(model, version, orders).await;
+        // Records the engine's answer to the load order, or why there is none (`outcome`). `orders` is
+        // the number of orders that the engine had accepted before.
+        log::info!(model, version, orders, outcome:?; "load ordered");
+        outcome
     }
 
     /// Waits until the engine runs and queues no requests, at least [`REPORT_PROPAGATION_TIME`] and
@@ -166,16 +207,25 @@
         rollout::wave_delay(&self.fetcher.own.overlay.to_string(), &names)
     }
 
-    /// Stages the pieces that are missing in the stage or differ from the verified ones.
-    async fn stage(&self, plan: &LoadPlan, guard: &StageGuard<'_>) -> Result<()> {
-        let fetcher = &self.fetcher;
-        for piece in 0..plan.engine.pieces {
-            let find = |pieces: &mut VersionPieces| pieces.pieces.get(&piece).cloned();
-            let data = fetcher.cache.with(plan.version, find);
-            let data = data.ok_or_else(|| eyre!("piece {piece} is not cached any more"))?;
-            let staged = fetcher
+    /// The pieces of the version of `plan`.
+    fn pieces(&self, plan: &LoadPlan) -> Result<Vec<Bytes>> {
+        let find = |cached: &mut VersionPieces| {
+            let pieces = 0..plan.engine.pieces;
+            pieces
+                .map(|piece| cached.pieces.get(&piece).cloned())
+                .collect()
+        };
+        let pieces: Option<Vec<Bytes>> = self.fetcher.cache.with(plan.version, find);
+        pieces.ok_or_else(|| eyre!("some pieces are not cached any more"))
+    }
+
+    /// Stages those of `pieces` that are missing in the stage or differ there.
+    async fn stage(&self, plan: &LoadPlan, pieces: &[Bytes], guard: &StageGuard<'_>) -> Result<()> {
+        for (piece, data) in (0..).zip(pieces) {
+            let staged = self
+                .fetcher
                 .writer
-                .stage_if_different(guard, &plan.model, piece, data)
+                .stage_if_different(guard, &plan.model, piece, data.clone())
                 .await;
             staged.map_err(|err| eyre!("cannot stage piece {piece}: {err:?}"))?;
         }
--- a/crates/agatepin/src/relay/ports.rs
+++ b/crates/agatepin/src/relay/ports.rs
@@ -76,6 +76,19 @@
         Broken(String),
     }
 
+    /// Outcome of a load order.
+    pub enum OrderOutcome {
+        /// The engine began the load with this order.
+        Begun,
+        /// The engine has executed, or is executing, an earlier order that is the same.
+        InEffect,
+        /// The engine does not execute this order; the number is the HTTP status.
+        Refused(u16),
+        /// The engine may have begun the load, or may still do so; the text says why this is not
+        /// known.
+        Unknown(String),
+    }
+
     /// Change of the fleet that a row of the platform's store describes.
     pub enum FleetUpdate {
         /// Routes, services and customers.
@@ -261,13 +274,14 @@
     ) -> impl Future<Output = Result<(), StoreError>>;
 
     /// Orders the engine to load the staged pieces and to abort its running requests. `orders` is
-    /// the number of orders that it accepted before.
+    /// the number of orders that it accepted before: an engine that has accepted another one since
+    /// refuses this one.
     fn load(
         &self,
         model: &str,
         version: WeightsVersion,
         orders: u64,
-    ) -> impl Future<Output = Result<(), StoreError>>;
+    ) -> impl Future<Output = OrderOutcome>;
 
     /// Reads the digests of all pieces of a version from the origin (source of weights).
     fn digests(
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -6,6 +6,7 @@
 pub mod client_timeout;
 pub mod events;
 pub mod liveness;
+pub mod load_order;
 pub mod notices;
 pub mod part_evidence;
 pub mod part_tracker;
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -7,6 +7,7 @@
     pub mod events;
     pub mod fleet_model;
     pub mod liveness;
+    pub mod load_order;
     pub mod notices;
     pub mod part_fleet;
     pub mod part_model;
