A restarted agent finishes the load that its stage is complete for

Cause: only the killed process knew of the order. Its successor staged pieces of the next version, which the engine then loaded.

Change: before its first write, an agent that is not part of the first start reads the stage. If that holds one newer version than the engine, but for corrupt pieces, the agent loads this version first; pieces are staged ahead only after that.

--- a/crates/agatepin/src/loader/pieces.rs
+++ b/crates/agatepin/src/loader/pieces.rs
@@ -10,6 +10,7 @@
 
 use agatepin_core::ids::ServiceId;
 use agatepin_core::rank;
+use agatepin_core::relay::catalog::WeightsVersion;
 use agatepin_core::relay::piece_fetch::PieceFetch;
 use agatepin_core::relay::sources::{PieceAgent, PieceSource, SourceLimits, SourcePlanner};
 use bytes::{Bytes, BytesMut};
@@ -24,7 +25,7 @@
 use crate::loader::view::{LoadPlan, SharedView};
 use crate::loader::watch::{PeerWatches, WatchEvent};
 use crate::relay::overlay::{self, DigestsQuery, PieceQuery, PullClient, PullQuery};
-use crate::relay::ports::{EnginePort, PieceDigests};
+use crate::relay::ports::{EnginePort, PieceDigests, StoreError};
 
 /// Maximum number of pieces that a fetch requests at a time. More would not fill the link better,
 /// but each would take longer, and other agents wait for it.
@@ -49,6 +50,10 @@
 const FETCH_TICK: Duration = Duration::from_millis(50);
 /// Interval at which a fetch checks whether the known agents have changed.
 const AGENTS_INTERVAL: Duration = Duration::from_millis(250);
+/// Longest time for the digests of the version that is staged at the agent's start.
+const DIGESTS_TIMEOUT: Duration = Duration::from_secs(3);
+/// Longest time for the pieces of that version which are corrupt in the stage.
+const RECOVERY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Number of times that a piece may differ from its digest before the digests are fetched again:
 /// either may be wrong.
 const MAX_MISMATCHES: u32 = 3;
@@ -329,6 +334,59 @@
         }
     }
 
+    /// The version newer than `loaded`, the one of the engine, that the stage holds, but for corrupt
+    /// pieces; none if there is none. Fetches the digests that it needs.
+    ///
+    /// # Errors
+    /// The stage cannot be read.
+    pub async fn staged_version(
+        &self,
+        plan: &LoadPlan,
+        loaded: Option<WeightsVersion>,
+    ) -> Result<Option<WeightsVersion>, StoreError> {
+        let mut staged = Vec::new();
+        for piece in 0..plan.engine.pieces {
+            let Some(data) = self.engine.staged(&plan.model, piece).await? else {
+                return Ok(None);
+            };
+            staged.push((piece, data));
+        }
+        // The origin has no digests of older versions.
+        let candidates = [plan.version, plan.version.saturating_sub(1)];
+        let newer = candidates
+            .into_iter()
+            .filter(|candidate| *candidate > loaded.unwrap_or_default());
+        for version in newer {
+            let plan = LoadPlan {
+                version,
+                ..plan.clone()
+            };
+            let digests = self.fetch_items(&plan, vec![plan.engine.pieces]);
+            if timeout(DIGESTS_TIMEOUT, digests).await.is_err() {
+                log::warn!(version; "no digests for the staged pieces");
+                continue;
+            }
+            let matching = self.cache.with(version, |pieces| {
+                let matches = |(piece, data): &&(u32, Bytes)| pieces.matches_digest(*piece, data);
+                staged.iter().filter(matches).count()
+            });
+            // Some pieces may be corrupt; a stage that is being filled with another version has
+            // pieces of both.
+            if 2 * matching > staged.len() {
+                return Ok(Some(version));
+            }
+        }
+        Ok(None)
+    }
+
+    /// Fetches the pieces of the version of `plan`, unless that takes too long. Returns whether all
+    /// are cached.
+    pub async fn fetch_in_time(&self, plan: &LoadPlan) -> bool {
+        self.reuse_staged(plan).await;
+        let fetched = timeout(RECOVERY_TIMEOUT, self.fetch(plan)).await;
+        fetched.is_ok() && self.cache.is_complete(plan.version)
+    }
+
     /// Caches the pieces that are the same as in another cached version.
     fn reuse_cached(&self, plan: &LoadPlan) {
         for piece in 0..plan.engine.pieces {
--- a/crates/agatepin/src/loader/stage.rs
+++ b/crates/agatepin/src/loader/stage.rs
@@ -23,6 +23,8 @@
     lock: Rc<Mutex<()>>,
     /// Time until which an unconfirmed write may still take effect; none if all were confirmed.
     write_pending_until: Rc<Cell<Option<Instant>>>,
+    /// Whether pieces may be staged ahead of their load.
+    prestaging: Rc<Cell<bool>>,
 }
 
 /// Exclusive access to the stage for one load, until it is dropped.
@@ -34,21 +36,31 @@
 where
     Engine: EnginePort,
 {
-    /// A writer to the stage of `engine`.
+    /// A writer to the stage of `engine`, which stages no pieces ahead of their load yet.
     pub fn new(engine: Engine) -> Self {
         Self {
             engine,
             lock: Rc::default(),
             write_pending_until: Rc::default(),
+            prestaging: Rc::default(),
         }
     }
 
-    /// Stages a piece ahead of its load. Does nothing while the stage is locked, which includes any
-    /// other write.
+    /// Permits to stage pieces ahead of their load: no order of an earlier process of this agent is
+    /// outstanding.
+    pub fn permit_prestaging(&self) {
+        self.prestaging.set(true);
+    }
+
+    /// Stages a piece ahead of its load. Does nothing before that is permitted, and while the stage is
+    /// locked, which includes any other write.
     ///
     /// # Errors
     /// The engine did not confirm the write.
     pub async fn prestage(&self, model: &str, piece: u32, data: Bytes) -> Result<(), StoreError> {
+        if !self.prestaging.get() {
+            return Ok(());
+        }
         let Ok(_lock) = self.lock.try_lock() else {
             return Ok(());
         };
--- a/crates/agatepin/src/loader/swap.rs
+++ b/crates/agatepin/src/loader/swap.rs
@@ -58,6 +58,10 @@
     /// Has the engine load the newest version of which all pieces are cached, each time that there
     /// is a newer one, until the task is dropped.
     pub async fn run(self) {
+        if !self.fetcher.first_start {
+            self.finish_earlier_load().await;
+        }
+        self.fetcher.writer.permit_prestaging();
         loop {
             sleep(POLL_INTERVAL).await;
             let plan = self.fetcher.view.borrow().plan(&self.service);
@@ -80,6 +84,38 @@
         }
     }
 
+    /// Loads the version that is staged completely although the engine has an older one: an earlier
+    /// process of this agent may have ordered that load, and the engine may still accept the order.
+    /// The stage can take pieces of a newer version only after that.
+    async fn finish_earlier_load(&self) {
+        let (plan, loaded, staged) = loop {
+            let plan = self.fetcher.view.borrow().plan(&self.service);
+            if let (Some(plan), Some(state)) = (plan, self.monitor.state()) {
+                let loaded = state.report.weights;
+                match self.fetcher.staged_version(&plan, loaded).await {
+                    Ok(staged) => break (plan, loaded, staged),
+                    Err(err) => log::warn!(err:?; "cannot read the engine's stage"),
+                }
+            }
+            sleep(POLL_INTERVAL).await;
+        };
+        let Some(version) = staged else {
+            return;
+        };
+        let plan = LoadPlan { version, ..plan };
+        let fetched = self.fetcher.fetch_in_time(&plan).await;
+        // The stage holds `version`, which an earlier process may have ordered; `fetched` tells whether
+        // all of its pieces are cached.
+        log::info!(version, loaded:?, fetched; "finishing an earlier load");
+        while fetched && !self.has_loaded(version) {
+            if let Err(err) = self.swap_to(&plan).await {
+                log::warn!(version, err:%; "weights not loaded yet");
+                sleep(FAILURE_PAUSE).await;
+            }
+            self.swapping.set(false);
+        }
+    }
+
     /// Whether the engine has loaded `version` or a newer one.
     fn has_loaded(&self, version: WeightsVersion) -> bool {
         let Some(state) = self.monitor.state() else {
