Copies of tables from an entry that has just started also tell of removed rows

Cause: an entry that has just started knows all rows, but not those that were removed before. It answered queries for the changes since an older version as if it did, and its newest change did not tell of the removal, so that others did not even ask. Later rows brought their copies beyond the removal for good.

Change: a copy gives changes only since its last read of all rows, and all rows for an older version. Heartbeats carry the version of that read; entries of the same region with an older copy take the rows. Entries of other regions do not, so that a restart does not have them all read the store.

--- a/crates/agatepin/src/relay/broadcast.rs
+++ b/crates/agatepin/src/relay/broadcast.rs
@@ -1,7 +1,7 @@
 //! Datagrams that an entry sends to other daemons: heartbeats, its requests in flight, summaries of
 //! engines, and the roster (the list of live entries and agents, with announced weights).
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -16,12 +16,12 @@
 
 use crate::relay::datagram::{
     AnnouncedWeights, Datagram, DatagramBody, EngineSummary, EntryHeartbeat, EntryRequests,
-    FleetRoster, LeavingNews, RegionEngines, SuspectNews, TableChange, UpstreamRequests,
+    FleetRoster, LeavingNews, RegionEngines, SuspectNews, TableVersion, UpstreamRequests,
 };
 use crate::relay::fleet::{FleetHandle, FleetState};
 use crate::relay::mirror::TableMirror;
 use crate::relay::part_news::{EntryParts, MAX_PARTS_PER_DATAGRAM, PartRecord};
-use crate::relay::ports::{TableStore, WireDialect};
+use crate::relay::ports::{MirrorTable, RowVersion, TableStore, WireDialect};
 
 /// Longest time between two heartbeats of this entry.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
@@ -268,13 +268,6 @@
         let ready = self.fleet.is_ready();
         let copy_status = self.mirror.copy_status();
         let answered_ms = copy_status.answered_for.as_millis();
-        let changes = copy_status
-            .changes
-            .into_iter()
-            .map(|(table, version)| TableChange {
-                table: table.number(),
-                version,
-            });
         self.fleet.with(|fleet| {
             let suspects = fleet.suspects.newest_suspects().into_iter();
             let suspects = suspects.take(MAX_SUSPECTS_PER_DATAGRAM);
@@ -300,7 +293,8 @@
                 data_centre: self.own.data_centre.clone(),
                 region: self.own.region.clone(),
                 reads_store: copy_status.reads_store,
-                changes: changes.collect(),
+                changes: table_versions(&copy_status.changes),
+                full_reads: table_versions(&copy_status.full_reads),
                 answered_ms: u64::try_from(answered_ms).unwrap_or(u64::MAX),
             }
         })
@@ -364,3 +358,12 @@
     });
     announced.collect()
 }
+
+/// Versions of tables, for a heartbeat.
+fn table_versions(versions: &BTreeMap<MirrorTable, RowVersion>) -> Vec<TableVersion> {
+    let versions = versions.iter().map(|(table, version)| TableVersion {
+        table: table.number(),
+        version: *version,
+    });
+    versions.collect()
+}
--- a/crates/agatepin/src/relay/datagram.rs
+++ b/crates/agatepin/src/relay/datagram.rs
@@ -212,7 +212,7 @@
     pub reads_store: bool,
     /// Newest change that the entry knows of each table of the store.
     #[prost(message, repeated, tag = "11")]
-    pub changes: Vec<TableChange>,
+    pub changes: Vec<TableVersion>,
     /// Time since which the store has answered each read of the entry, in milliseconds; 0 if it
     /// answered none since the last failed one.
     #[prost(uint64, tag = "12")]
@@ -220,6 +220,9 @@
     /// Upstreams that said recently that they are leaving.
     #[prost(message, repeated, tag = "13")]
     pub leaving: Vec<LeavingNews>,
+    /// Version of the entry's last read of all rows of each table of the store.
+    #[prost(message, repeated, tag = "14")]
+    pub full_reads: Vec<TableVersion>,
 }
 
 /// An upstream that said in an answer that it is leaving.
@@ -236,13 +239,13 @@
     pub age_ms: u64,
 }
 
-/// Newest change that an entry knows of one table of the store.
+/// Version of one table of the store, such as that of the newest change that an entry knows.
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
-pub struct TableChange {
+pub struct TableVersion {
     /// Number of the table, as in `MirrorTable::number`.
     #[prost(uint32, tag = "1")]
     pub table: u32,
-    /// Version of the table service that the change produced.
+    /// Version of the table service.
     #[prost(uint64, tag = "2")]
     pub version: u64,
 }
@@ -251,13 +254,16 @@
     /// State of the entry's copy of the store's tables. Unknown tables are skipped.
     #[must_use]
     pub fn copy_status(&self) -> CopyStatus<MirrorTable> {
-        let changes = self.changes.iter().filter_map(|change| {
-            let table = MirrorTable::from_number(change.table)?;
-            Some((table, change.version))
-        });
+        let by_table = |versions: &[TableVersion]| {
+            let known = versions
+                .iter()
+                .filter_map(|of| Some((MirrorTable::from_number(of.table)?, of.version)));
+            known.collect()
+        };
         CopyStatus {
             reads_store: self.reads_store,
-            changes: changes.collect(),
+            changes: by_table(&self.changes),
+            full_reads: by_table(&self.full_reads),
             answered_for: Duration::from_millis(self.answered_ms),
         }
     }
--- a/crates/agatepin/src/relay/mirror.rs
+++ b/crates/agatepin/src/relay/mirror.rs
@@ -317,11 +317,7 @@
     /// removed.
     fn replace_rows(&self, table: MirrorTable, read: TableRead, may_have_lapsed: bool) {
         let (time, version) = (read.time, read.version);
-        let removed_keys = self.with_copy(table, |copy| {
-            copy.fully_read = true;
-            copy.advance(version, time);
-            copy.keys_missing_in(&read)
-        });
+        let removed_keys = self.with_copy(table, |copy| copy.begin_full_read(&read));
         for key in removed_keys {
             let row = TableRow {
                 key,
@@ -536,10 +532,15 @@
             let copy = copies.get(table)?;
             Some((*table, copy.last_change))
         });
+        let full_reads = reported.iter().filter_map(|table| {
+            let copy = copies.get(table).filter(|copy| copy.fully_read)?;
+            Some((*table, copy.full_read_version))
+        });
         let answered_since = self.answered_since.get();
         CopyStatus {
             reads_store,
             changes: changes.collect(),
+            full_reads: full_reads.collect(),
             answered_for: answered_since.map_or(Duration::ZERO, |since| since.elapsed()),
         }
     }
--- a/crates/agatepin/src/relay/table_copy.rs
+++ b/crates/agatepin/src/relay/table_copy.rs
@@ -35,6 +35,9 @@
     pub fully_read: bool,
     /// Time of the store's last answer to this entry; none before the first.
     pub answered_at: Option<Instant>,
+    /// Version of the last read of all rows; 0 before the first. Rows that were removed before it are
+    /// not known.
+    pub full_read_version: RowVersion,
     /// Version of the newest removed row that has been dropped from `rows`; the changes since an older
     /// version cannot be given completely.
     dropped_version: RowVersion,
@@ -50,6 +53,14 @@
         self.store_clock = Some((time, Instant::now()));
     }
 
+    /// Records that all rows were read, as in `read`. Returns the keys of rows that are missing there.
+    pub fn begin_full_read(&mut self, read: &TableRead) -> Vec<String> {
+        self.fully_read = true;
+        self.full_read_version = self.full_read_version.max(read.version);
+        self.advance(read.version, read.time);
+        self.keys_missing_in(read)
+    }
+
     /// Inserts a row. Returns false if this version of the row, or a newer one, is known.
     pub fn insert(&mut self, row: &TableRow) -> bool {
         let old = self.rows.get(&row.key);
@@ -69,8 +80,7 @@
     }
 
     /// Keys of rows that are missing in `read`, a read of the whole table.
-    #[must_use]
-    pub fn keys_missing_in(&self, read: &TableRead) -> Vec<String> {
+    fn keys_missing_in(&self, read: &TableRead) -> Vec<String> {
         let present = self.rows.values().filter(|row| row.value.is_some());
         let missing = present.filter(|row| !read.rows.iter().any(|other| other.key == row.key));
         missing.map(|row| row.key.clone()).collect()
@@ -84,7 +94,8 @@
         if !self.fully_read || self.version <= after {
             return None;
         }
-        let changes_only = after > 0 && after >= self.dropped_version;
+        let complete_since = self.dropped_version.max(self.full_read_version);
+        let changes_only = after > 0 && after >= complete_since;
         let wanted = |row: &&TableRow| {
             if changes_only {
                 row.version > after
--- a/crates/core/src/relay/readers.rs
+++ b/crates/core/src/relay/readers.rs
@@ -34,6 +34,9 @@
         pub reads_store: bool,
         /// Version of the newest change that the entry knows, by table.
         pub changes: BTreeMap<Table, u64>,
+        /// Version of the entry's last read of all rows, by table. Rows that were removed before it are
+        /// missing in the entry's copy, but are not among its changes.
+        pub full_reads: BTreeMap<Table, u64>,
         /// Time since which the store has answered each read of the entry; zero if it answered none
         /// since the last failed one.
         pub answered_for: Duration,
@@ -78,7 +81,7 @@
     Table: Ord + Copy,
 {
     /// Records the copy status that the entry `name`, with the address `overlay`, sent. Returns
-    /// whether its changes differ from those that it sent before. `same_region` tells whether
+    /// whether its changes or full reads differ from those that it sent before. `same_region` tells whether
     /// `name` is in this entry's region.
     pub fn update(
         &mut self,
@@ -95,8 +98,11 @@
             updated_at: now,
         };
         let changes = state.copy_status.changes.clone();
+        let full_reads = state.copy_status.full_reads.clone();
         let old = self.entries.insert(name.clone(), state);
-        old.is_none_or(|old| old.copy_status.changes != changes)
+        old.is_none_or(|old| {
+            old.copy_status.changes != changes || old.copy_status.full_reads != full_reads
+        })
     }
 
     /// Whether the entry `own` need not read the store: it is not among the first entries of its
@@ -152,12 +158,19 @@
         let mut is_elsewhere = false;
         let mut best = None;
         for (name, state) in &self.entries {
-            let change = state.copy_status.changes.get(&table);
-            if !is_recent(state, now) || change.is_none_or(|change| *change <= version) {
+            if !is_recent(state, now) {
                 continue;
             }
+            let has_newer = |versions: &BTreeMap<Table, u64>| {
+                versions.get(&table).is_some_and(|newest| *newest > version)
+            };
+            let has_change = has_newer(&state.copy_status.changes);
             if !state.same_region {
-                is_elsewhere = true;
+                is_elsewhere |= has_change;
+                continue;
+            }
+            // The copy may lack rows whose removal nobody else tells of.
+            if !has_change && !has_newer(&state.copy_status.full_reads) {
                 continue;
             }
             let score = rank::score_seeds(own, rank::seed(name.as_bytes()));
--- a/crates/core/tests/relay/readers.rs
+++ b/crates/core/tests/relay/readers.rs
@@ -24,6 +24,7 @@
     CopyStatus {
         reads_store,
         changes: [(TABLE, change)].into(),
+        full_reads: [].into(),
         answered_for: Duration::ZERO,
     }
 }
@@ -172,3 +173,25 @@
     let turns = (0..8).map(|turn| source(OWN, Duration::from_millis(500 * turn)));
     assert!(turns.collect::<BTreeSet<_>>().len() > 1);
 }
+
+/// Guards against removals that nobody tells of: an entry that has just started does not know which
+/// rows were removed before, so its newest change is older than the removal.
+#[test]
+fn a_copy_that_was_fully_read_later_is_newer_for_entries_of_its_region() {
+    let now = Instant::now();
+    let names = names();
+    for (same_region, expected) in [
+        (true, Some(NewerRows::SameRegion(overlay(1)))),
+        (false, None),
+    ] {
+        let mut directory = ReaderDirectory::default();
+        let status = CopyStatus {
+            full_reads: [(TABLE, 9)].into(),
+            ..status(true, 5)
+        };
+        assert!(directory.update(&names[0], overlay(1), same_region, status, now));
+        let newer = |version| directory.newer_rows(TABLE, version, &names[3], Duration::ZERO, now);
+        assert_eq!(newer(7), expected);
+        assert_eq!(newer(9), None);
+    }
+}
