A version of weights that is found at the start counts as announced as early as possible

Cause: a read of all rows gives a version without its age; it was recorded as announced now, and no row and no peer knew better.

Change: such an announcement has an unknown time and counts as made after what is known to have preceded it: older versions, an earlier read of the table, and what agents, which go on running, last heard as the newest version from entries, less 2 s. Without any of these, older weights do not serve.

--- a/crates/agatepin/src/loader/daemon.rs
+++ b/crates/agatepin/src/loader/daemon.rs
@@ -111,6 +111,7 @@
         address: options.engine,
         overlay,
         region: options.region.clone(),
+        service: options.service.clone(),
         cache: cache.clone(),
         view: view.clone(),
         swapping: swapping.clone(),
--- a/crates/agatepin/src/loader/mod.rs
+++ b/crates/agatepin/src/loader/mod.rs
@@ -2,6 +2,7 @@
 //! through agents: fetches and verifies the pieces of a weights version, has the engine beside it
 //! load them, and reports the engine's load to the entries.
 
+pub mod boot_clock;
 pub mod cache;
 pub mod daemon;
 pub mod monitor;
--- a/crates/agatepin/src/loader/monitor.rs
+++ b/crates/agatepin/src/loader/monitor.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use agatepin_core::ids::RegionId;
+use agatepin_core::ids::{RegionId, ServiceId};
 use agatepin_core::relay::subset;
 use prost::Message;
 use tokio::net::UdpSocket;
@@ -14,7 +14,7 @@
 use crate::loader::cache::PieceCache;
 use crate::loader::swap::SwapFlag;
 use crate::loader::view::SharedView;
-use crate::relay::datagram::{Datagram, DatagramBody, EngineLoad};
+use crate::relay::datagram::{Datagram, DatagramBody, EngineLoad, NewestWeights};
 use crate::relay::ports::{EnginePort, EngineState};
 
 /// Pause between two polls of the engine's state during a swap of weights.
@@ -74,6 +74,8 @@
     pub overlay: SocketAddr,
     /// Region of the agent.
     pub region: RegionId,
+    /// Service of the engine.
+    pub service: ServiceId,
     /// Pieces of this agent; the newest complete version is part of the report.
     pub cache: PieceCache,
     /// Source of the entries to report to.
@@ -137,17 +139,27 @@
             active: report.as_ref().map_or(0, |r| r.active),
             queued: report.as_ref().map_or(0, |r| r.queued),
             holds: self.cache.newest_complete_version().unwrap_or_default(),
+            newest: Vec::new(),
         }
     }
 
     /// Sends `load` to the entries that are sent each change where `frequent_due` is set, and to
     /// the others where `reduced_due` is set.
     fn send(&self, load: &EngineLoad, frequent_due: bool, reduced_due: bool, now: Instant) {
+        let mut view = self.view.borrow_mut();
+        let newest = view.newest_versions(&self.service);
+        let newest = newest.map(|(version, age)| NewestWeights {
+            version,
+            age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+        });
+        let load = EngineLoad {
+            newest: newest.collect(),
+            ..load.clone()
+        };
         let data = Datagram {
-            body: Some(DatagramBody::Load(load.clone())),
+            body: Some(DatagramBody::Load(load)),
         };
         let data = data.encode_to_vec();
-        let mut view = self.view.borrow_mut();
         let entries: Vec<_> = view.entries(now).collect();
         let report_receivers = subset::report_receivers(self.overlay, &self.region, &entries);
         for (entry, _) in entries {
--- a/crates/agatepin/src/loader/view.rs
+++ b/crates/agatepin/src/loader/view.rs
@@ -10,9 +10,11 @@
 
 use agatepin_core::ids::{ModelId, RegionId, ServiceId};
 use agatepin_core::relay::catalog::{CatalogSpec, EngineSpec, RouteCatalog, WeightsVersion};
+use agatepin_core::relay::load_order::BootTime;
 use agatepin_core::relay::schedule::WeightsSchedule;
 use agatepin_core::relay::sources::PieceAgent;
 
+use crate::loader::boot_clock::boot_time;
 use crate::relay::datagram::FleetRoster;
 use crate::relay::entry_rows::EntryRow;
 use crate::relay::ports::{FleetUpdate, MirrorTable, StoreError, TableStore, WireDialect};
@@ -20,6 +22,11 @@
 /// Time after which an entry or agent is removed that neither a roster nor a read of the store has
 /// listed again.
 const PEER_TTL: Duration = Duration::from_millis(1_200);
+/// Time for which this agent remembers that a version was the newest one: longer than any older one may
+/// serve after the announcement of the next.
+const NEWEST_TTL: Duration = Duration::from_secs(10);
+/// Maximum number of versions for which that is remembered.
+const MAX_NEWEST_TIMES: usize = 3;
 
 agatepin_core::value_type! {
     /// Weights that the engine of an agent is to load, and their origin.
@@ -49,6 +56,9 @@
     agents: BTreeMap<SocketAddr, (PieceAgent, Instant)>,
     /// When the last roster was received; none before the first.
     roster_at: Option<Instant>,
+    /// Time of the last roster after which a version was the newest announced one, by model and
+    /// version.
+    newest_at: BTreeMap<ModelId, BTreeMap<WeightsVersion, BootTime>>,
 }
 
 /// View that the tasks of one agent share.
@@ -92,6 +102,40 @@
             let age = Duration::from_millis(announced.age_ms);
             self.record_announcement(&announced.model, announced.version, age, now);
         }
+        if roster.knows_weights {
+            self.record_newest(boot_time());
+        }
+    }
+
+    /// Records the newest announced version of each model at the time `at`.
+    fn record_newest(&mut self, at: BootTime) {
+        for engine in self.catalog.iter().flat_map(RouteCatalog::engines) {
+            let schedule = self.weights.get(&engine.model);
+            let newest = schedule.and_then(WeightsSchedule::newest);
+            let times = self.newest_at.entry(engine.model.clone()).or_default();
+            times.insert(newest.unwrap_or_default(), at);
+            while times.len() > MAX_NEWEST_TIMES {
+                times.pop_first();
+            }
+        }
+    }
+
+    /// Versions that were the newest announced ones of the model of `service` at times in the past,
+    /// each with the time since. Older ones than those of the last [`NEWEST_TTL`] are left out: all
+    /// entries know the times of announcements after them, or do not need these any more.
+    pub fn newest_versions(
+        &self,
+        service: &ServiceId,
+    ) -> impl Iterator<Item = (WeightsVersion, Duration)> {
+        let catalog = self.catalog.as_ref();
+        let engine = catalog.and_then(|catalog| catalog.service(service)?.engine.as_ref());
+        let times = engine.and_then(|engine| self.newest_at.get(&engine.model));
+        let now = boot_time();
+        times
+            .into_iter()
+            .flatten()
+            .map(move |(version, at)| (*version, now.saturating_sub(*at)))
+            .filter(|(_, age)| *age < NEWEST_TTL)
     }
 
     /// Records that `version` of a model was announced `age` before `now`.
--- a/crates/agatepin/src/relay/broadcast.rs
+++ b/crates/agatepin/src/relay/broadcast.rs
@@ -6,7 +6,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use agatepin_core::ids::RegionId;
+use agatepin_core::ids::{ModelId, RegionId};
+use agatepin_core::relay::catalog::WeightsVersion;
 use agatepin_core::relay::liveness::EntryListing;
 use agatepin_core::relay::part_evidence::PartKey;
 use agatepin_core::relay::subset;
@@ -287,7 +288,7 @@
                 name: self.name.clone(),
                 incarnation: self.own.incarnation,
                 ready,
-                weights: announced_weights(fleet, now),
+                weights: dated_weights(fleet, now),
                 suspects: suspects.collect(),
                 front: self.own.front.to_string(),
                 data_centre: self.own.data_centre.clone(),
@@ -308,6 +309,7 @@
                 .retain(|_, agent| now.saturating_duration_since(agent.last_seen) < AGENT_TIMEOUT);
             let mut roster = FleetRoster {
                 weights: announced_weights(fleet, now),
+                knows_weights: fleet.catalog.is_some(),
                 ..FleetRoster::default()
             };
             roster.add_entry(self.own.overlay, &self.own.region);
@@ -345,20 +347,32 @@
     }
 }
 
-/// All announced versions of weights, with the age of each announcement.
+/// All announced versions of weights, with the age of each announcement, 0 where it is not known.
 fn announced_weights(fleet: &FleetState, now: Instant) -> Vec<AnnouncedWeights> {
     let announced = fleet.weights.iter().flat_map(|(model, schedule)| {
-        schedule
-            .announced(now)
-            .map(|(version, age)| AnnouncedWeights {
-                model: model.clone(),
-                version,
-                age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
-            })
+        let announced = schedule.announced(now);
+        announced.map(|(version, age)| announcement(model, version, age.unwrap_or_default()))
+    });
+    announced.collect()
+}
+
+/// The announced versions of weights whose age is known.
+fn dated_weights(fleet: &FleetState, now: Instant) -> Vec<AnnouncedWeights> {
+    let announced = fleet.weights.iter().flat_map(|(model, schedule)| {
+        let dated = schedule.announced(now);
+        dated.filter_map(|(version, age)| Some(announcement(model, version, age?)))
     });
     announced.collect()
 }
 
+fn announcement(model: &ModelId, version: WeightsVersion, age: Duration) -> AnnouncedWeights {
+    AnnouncedWeights {
+        model: model.clone(),
+        version,
+        age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+    }
+}
+
 /// Versions of tables, for a heartbeat.
 fn table_versions(versions: &BTreeMap<MirrorTable, RowVersion>) -> Vec<TableVersion> {
     let versions = versions.iter().map(|(table, version)| TableVersion {
--- a/crates/agatepin/src/relay/datagram.rs
+++ b/crates/agatepin/src/relay/datagram.rs
@@ -314,6 +314,10 @@
     /// Agents that the sender receives reports from.
     #[prost(message, repeated, tag = "4")]
     pub agents: Vec<RosterDaemon>,
+    /// The sender has read the operators' table: no newer versions than `weights` were announced when
+    /// it last read that.
+    #[prost(bool, tag = "5")]
+    pub knows_weights: bool,
 }
 
 /// Entry or agent in a roster.
@@ -419,4 +423,18 @@
     /// Version of the weights of which the agent holds all pieces; 0 for none.
     #[prost(uint64, tag = "8")]
     pub holds: u64,
+    /// Newest announced versions that the agent was told of at earlier times.
+    #[prost(message, repeated, tag = "9")]
+    pub newest: Vec<NewestWeights>,
+}
+
+/// Newest announced version of the weights at a time in the past.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct NewestWeights {
+    /// Version that was the newest one; 0 if none was announced.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// Time since the last roster in which it was the newest one, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub age_ms: u64,
 }
--- a/crates/agatepin/src/relay/datagram_handler.rs
+++ b/crates/agatepin/src/relay/datagram_handler.rs
@@ -16,6 +16,10 @@
 use crate::relay::part_news::{EntryParts, MAX_PARTS_PER_DATAGRAM};
 use crate::relay::part_watch::change_parts;
 
+/// Longest time from an announcement of weights until the rosters of entries tell of it: the platform's
+/// bound for changes by operators.
+const NEWS_DELAY: Duration = Duration::from_secs(2);
+
 /// Applies the datagram `body`, sent by the daemon at `from`, to the state of an entry in `region`.
 pub fn handle_datagram(fleet: &FleetHandle, region: &str, from: SocketAddr, body: DatagramBody) {
     match body {
@@ -116,6 +120,12 @@
         last_seen: now,
     };
     fleet.with(|fleet| {
+        for newest in load.newest {
+            let age = Duration::from_millis(newest.age_ms).saturating_add(NEWS_DELAY);
+            if let Some(at) = now.checked_sub(age) {
+                fleet.record_newest_weights(engine, newest.version, at);
+            }
+        }
         fleet.upstreams.report(engine, report, now);
         fleet.agents.insert(from, agent);
     });
--- a/crates/agatepin/src/relay/fleet.rs
+++ b/crates/agatepin/src/relay/fleet.rs
@@ -41,6 +41,15 @@
     }
 }
 
+/// When the changes of a row were made that are applied now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RowTime {
+    /// Just now: the row arrived as soon as it changed.
+    Now,
+    /// At an unknown time, after this one if it is given.
+    After(Option<Instant>),
+}
+
 /// State of the fleet as one entry knows it.
 pub struct FleetState {
     /// Routes, services and customers in force; none until the first read.
@@ -179,8 +188,14 @@
 impl FleetState {
     /// Applies an update that was read from a row of the platform store's tables. With `may_have_lapsed`,
     /// upstreams may be missing in the list only because their rows expired while the store was
-    /// unreachable; they stay in use for a grace period.
-    pub fn apply(&mut self, update: FleetUpdate, may_have_lapsed: bool, now: Instant) {
+    /// unreachable; they stay in use for a grace period. `changed` is the time of the row's change.
+    pub fn apply(
+        &mut self,
+        update: FleetUpdate,
+        may_have_lapsed: bool,
+        changed: RowTime,
+        now: Instant,
+    ) {
         match update {
             FleetUpdate::Catalog(source) => self.apply_catalog(RouteCatalog::from(*source)),
             FleetUpdate::Upstream(id, listing) => {
@@ -207,9 +222,12 @@
                 log::info!(data_centre; "data centre back");
                 self.upstreams.evacuate(&data_centre, false);
             }
-            FleetUpdate::Weights { model, version } => {
-                self.record_weights(&model, version, Duration::ZERO, now);
-            }
+            FleetUpdate::Weights { model, version } => match changed {
+                RowTime::Now => self.record_weights(&model, version, Duration::ZERO, now),
+                RowTime::After(after) => {
+                    self.record_undated_weights(&model, version, after, now);
+                }
+            },
             FleetUpdate::Ignored => {}
         }
     }
@@ -242,6 +260,40 @@
         }
     }
 
+    /// Records that `version` of a model was announced at an unknown time, after `after` if that is
+    /// given.
+    fn record_undated_weights(
+        &mut self,
+        model: &str,
+        version: WeightsVersion,
+        after: Option<Instant>,
+        now: Instant,
+    ) {
+        let schedule = self.weights.entry(model.to_owned()).or_default();
+        if schedule.announce_undated(version, after, now) {
+            // `after_ms`: the announcement is not older than this, if that is known.
+            let after_ms = after.map(|after| now.saturating_duration_since(after).as_millis());
+            log::info!(model, version, after_ms:?; "weights named at an unknown time");
+            self.heartbeat_due.notify_one();
+        }
+    }
+
+    /// Records that no weights newer than `newest` were announced at the time `at` for the engine at
+    /// `engine`, by its agent.
+    pub fn record_newest_weights(
+        &mut self,
+        engine: SocketAddr,
+        newest: WeightsVersion,
+        at: Instant,
+    ) {
+        let service = self.upstreams.service_at(engine);
+        let catalog = self.catalog.as_ref();
+        let spec = service.and_then(|service| catalog?.service(service)?.engine.as_ref());
+        if let Some(schedule) = spec.and_then(|spec| self.weights.get_mut(&spec.model)) {
+            schedule.record_newest(newest, at);
+        }
+    }
+
     /// Time from which no request may start with the weights that `upstream` holds. None while no
     /// newer version is announced, and for an upstream that is unknown or has no weights.
     #[must_use]
--- a/crates/agatepin/src/relay/mirror.rs
+++ b/crates/agatepin/src/relay/mirror.rs
@@ -17,7 +17,7 @@
 
 use crate::relay::admit::EntryIdentity;
 use crate::relay::entry_rows::{EntryRow, WeightsRow};
-use crate::relay::fleet::FleetHandle;
+use crate::relay::fleet::{FleetHandle, RowTime};
 use crate::relay::overlay;
 use crate::relay::ports::{
     FleetUpdate, MirrorTable, RowVersion, StoreError, TableRead, TableRow, TableStore, WireDialect,
@@ -293,21 +293,29 @@
             self.answered_since.set(Some(now));
         }
         if fully_read {
-            self.apply_changes(table, read, may_have_lapsed);
+            self.apply_changes(table, read, may_have_lapsed, RowTime::Now);
             return Ok(changes);
         }
         self.replace_rows(table, read, may_have_lapsed);
         Ok(changes.min(1))
     }
 
-    /// Applies changed rows to the copy and the fleet's state, and writes the time of each announcement
-    /// of weights among them to the store.
-    fn apply_changes(&self, table: MirrorTable, read: TableRead, may_have_lapsed: bool) {
+    /// Applies rows that were changed at `changed` to the copy and the fleet's state. Writes the time
+    /// of each announcement of weights among them to the store, where it is known.
+    fn apply_changes(
+        &self,
+        table: MirrorTable,
+        read: TableRead,
+        may_have_lapsed: bool,
+        changed: RowTime,
+    ) {
         let time = read.time;
         self.with_copy(table, |copy| copy.advance(read.version, time));
         for row in read.rows {
-            let update = self.apply_row(table, row, may_have_lapsed, time);
-            if let Some(FleetUpdate::Weights { model, version }) = update {
+            let update = self.apply_row(table, row, may_have_lapsed, changed, time);
+            if let Some(FleetUpdate::Weights { model, version }) = update
+                && changed == RowTime::Now
+            {
                 self.record_announcement(model, version, time);
             }
         }
@@ -317,6 +325,7 @@
     /// removed.
     fn replace_rows(&self, table: MirrorTable, read: TableRead, may_have_lapsed: bool) {
         let (time, version) = (read.time, read.version);
+        let changed = RowTime::After(self.with_copy(table, |copy| copy.complete_until()));
         let removed_keys = self.with_copy(table, |copy| copy.begin_full_read(&read));
         for key in removed_keys {
             let row = TableRow {
@@ -324,10 +333,10 @@
                 version,
                 value: None,
             };
-            self.apply_row(table, row, may_have_lapsed, time);
+            self.apply_row(table, row, may_have_lapsed, changed, time);
         }
         for row in read.rows {
-            self.apply_row(table, row, may_have_lapsed, time);
+            self.apply_row(table, row, may_have_lapsed, changed, time);
         }
         if table == MirrorTable::Upstreams {
             self.fleet.with(|fleet| fleet.upstreams_read = true);
@@ -342,13 +351,14 @@
         act(self.copies.borrow_mut().entry(table).or_default())
     }
 
-    /// Applies a row that was read at `time` on the store's clock. Returns the update that it
-    /// contains, if it is new and valid.
+    /// Applies a row that was read at `time` on the store's clock and changed at `changed`. Returns
+    /// the update that it contains, if it is new and valid.
     fn apply_row(
         &self,
         table: MirrorTable,
         row: TableRow,
         may_have_lapsed: bool,
+        changed: RowTime,
         time: Duration,
     ) -> Option<FleetUpdate> {
         if !self.with_copy(table, |copy| copy.insert(&row)) {
@@ -362,14 +372,15 @@
         match self.dialect.read_row(table, &row) {
             Ok(update) => {
                 self.fleet
-                    .with(|fleet| fleet.apply(update.clone(), may_have_lapsed, now));
+                    .with(|fleet| fleet.apply(update.clone(), may_have_lapsed, changed, now));
                 Some(update)
             }
             Err(err) => {
                 log::warn!(table:?, key = row.key, reason = err.0; "unusable row of the store skipped");
                 if table == MirrorTable::Upstreams {
                     let removal = FleetUpdate::UpstreamRemoved(row.key);
-                    self.fleet.with(|fleet| fleet.apply(removal, false, now));
+                    self.fleet
+                        .with(|fleet| fleet.apply(removal, false, changed, now));
                 }
                 None
             }
@@ -503,7 +514,9 @@
         }
         let may_have_lapsed = copy.may_have_lapsed || self.may_have_lapsed();
         if copy.changes_only {
-            self.apply_changes(table, read, may_have_lapsed);
+            // The other entry may have started only after the changes.
+            let changed = RowTime::After(self.with_copy(table, |copy| copy.complete_until()));
+            self.apply_changes(table, read, may_have_lapsed, changed);
         } else {
             self.replace_rows(table, read, may_have_lapsed);
         }
--- a/crates/agatepin/src/relay/server.rs
+++ b/crates/agatepin/src/relay/server.rs
@@ -281,7 +281,7 @@
     let weights = fleet.weights.iter().map(|(model, schedule)| {
         let announced = schedule
             .announced(now)
-            .map(|(version, age)| json!({ "version": version, "age_s": age.as_secs_f64() }));
+            .map(|(version, age)| json!({ "version": version, "age_s": age.map(|age| age.as_secs_f64()) }));
         json!({
             "model": model, "required": schedule.required(now),
             "named": announced.collect::<Vec<_>>(),
--- a/crates/agatepin/src/relay/table_copy.rs
+++ b/crates/agatepin/src/relay/table_copy.rs
@@ -9,6 +9,9 @@
 /// changes since an older version: more rows than are removed in a busy minute.
 const MAX_REMOVED_ROWS: usize = 1_024;
 
+/// Longest time from the moment that a read shows to the arrival of its rows.
+const MAX_READ_DELAY: Duration = Duration::from_secs(1);
+
 agatepin_core::value_type! {
     /// Rows that one entry sends to another.
     pub struct RowsCopy {
@@ -53,6 +56,14 @@
         self.store_clock = Some((time, Instant::now()));
     }
 
+    /// Time after which the changes were made that the next read of rows brings; none before the first
+    /// complete read.
+    #[must_use]
+    pub fn complete_until(&self) -> Option<Instant> {
+        let (_, read_at) = self.store_clock.filter(|_| self.fully_read)?;
+        read_at.checked_sub(MAX_READ_DELAY)
+    }
+
     /// Records that all rows were read, as in `read`. Returns the keys of rows that are missing there.
     pub fn begin_full_read(&mut self, read: &TableRead) -> Vec<String> {
         self.fully_read = true;
--- a/crates/core/src/relay/catalog.rs
+++ b/crates/core/src/relay/catalog.rs
@@ -234,6 +234,12 @@
         self.spec.services.get(name)
     }
 
+    /// Engines of all services that have some.
+    pub fn engines(&self) -> impl Iterator<Item = &EngineSpec> {
+        let services = self.spec.services.values();
+        services.filter_map(|service| service.engine.as_ref())
+    }
+
     /// Finds the service whose engines serve `model`.
     #[must_use]
     pub fn engine_of(&self, model: &str) -> Option<(&ServiceId, &EngineSpec)> {
--- a/crates/core/src/relay/load_order.rs
+++ b/crates/core/src/relay/load_order.rs
@@ -1,6 +1,11 @@
 //! A load order whose outcome may be unknown: its answer can be lost or late, and an engine that does
 //! not respond may still accept it.
 
+use std::time::Duration;
+
+/// Reading of a clock that also counts the time in which the machine was suspended.
+pub type BootTime = Duration;
+
 crate::value_type! {
     /// What an engine's state tells of a load order.
     pub enum OrderStatus {
--- a/crates/core/src/relay/upstreams.rs
+++ b/crates/core/src/relay/upstreams.rs
@@ -347,6 +347,13 @@
         state.sent_before_report = 0;
     }
 
+    /// Service of the upstream that is listed at `address`.
+    #[must_use]
+    pub fn service_at(&self, address: SocketAddr) -> Option<&ServiceId> {
+        let state = self.upstreams.get(self.by_address.get(&address)?)?;
+        Some(&state.listing.service)
+    }
+
     /// Applies the summary that an entry of another region sent of the agent's reports on the
     /// engine at `address`. Engines of `own_region` are ignored: their agents report directly. The
     /// summary may not include yet what this entry sent before it, so those requests count until
--- a/crates/core/tests/relay/schedule.rs
+++ b/crates/core/tests/relay/schedule.rs
@@ -58,3 +58,43 @@
     schedule.announce(2, Duration::ZERO, now);
     assert_eq!(schedule.deadline_of(u64::MAX), None);
 }
+
+/// Guards against requests that start on older weights after the platform's bound: entries that were
+/// all down when a version was announced took it for new at their start.
+#[test]
+fn an_announcement_of_unknown_age_counts_as_the_oldest_possible_one() {
+    let start = Instant::now() + DEADLINE_DELAY;
+    let mut schedule = WeightsSchedule::default();
+    assert!(schedule.announce_undated(2, None, start));
+    assert_eq!(schedule.required(start), Some(2));
+    assert!(schedule.deadline_of(1).unwrap() <= start);
+    assert_eq!(schedule.announced(start).last(), Some((2, None)));
+    // Somebody knew a moment at which it was not announced yet.
+    let before = start - Duration::from_secs(3);
+    schedule.record_newest(1, before);
+    schedule.record_newest(1, before - Duration::from_secs(1));
+    // This tells nothing of version 2.
+    schedule.record_newest(2, start);
+    assert_eq!(schedule.required(start), None);
+    assert_eq!(schedule.required(before + CUTOVER_DELAY), Some(2));
+    assert_eq!(schedule.deadline_of(1), Some(before + DEADLINE_DELAY));
+    // Somebody knew the time of the announcement.
+    schedule.announce(2, JUST_NOW, start);
+    assert_eq!(schedule.deadline_of(1), Some(start + DEADLINE_DELAY));
+    assert!(!schedule.announce_undated(2, None, start));
+    assert_eq!(schedule.deadline_of(1), Some(start + DEADLINE_DELAY));
+}
+
+/// Versions are announced in order.
+#[test]
+fn an_announcement_of_unknown_age_is_not_older_than_that_of_an_older_version() {
+    let now = Instant::now() + DEADLINE_DELAY;
+    let mut schedule = WeightsSchedule::default();
+    schedule.announce(2, Duration::from_secs(1), now);
+    schedule.announce_undated(3, None, now);
+    assert_eq!(schedule.required(now), None);
+    assert_eq!(
+        schedule.deadline_of(2),
+        Some(now - Duration::from_secs(1) + DEADLINE_DELAY)
+    );
+}
