Crashes by requests that may not be repeated count, overlapping ones once

Cause: only crashes by retryable requests were recorded.

Change: crashes of all kinds of requests are recorded. As this blames more requests that were merely beside a crash, breaks of attempts that overlap count once, and a request that a worker has answered is sound; entries tell each other the times of the attempts and of answers.

--- a/crates/agatepin/src/relay/attempt.rs
+++ b/crates/agatepin/src/relay/attempt.rs
@@ -179,6 +179,13 @@
         }
     }
 
+    /// Records that the answer, a success, is complete.
+    pub fn record_complete(&self) {
+        if let Some(witness) = &self.witness {
+            witness.record_complete();
+        }
+    }
+
     /// Sets the outcome that is recorded on drop; [`SendOutcome::Abandoned`] if never set.
     pub fn set_outcome(&mut self, outcome: SendOutcome) {
         self.outcome.set(outcome);
--- a/crates/agatepin/src/relay/broadcast.rs
+++ b/crates/agatepin/src/relay/broadcast.rs
@@ -16,8 +16,9 @@
 use tokio::time::{sleep, sleep_until};
 
 use crate::relay::datagram::{
-    AnnouncedWeights, Datagram, DatagramBody, EngineSummary, EntryHeartbeat, EntryRequests,
-    FleetRoster, LeavingNews, RegionEngines, SuspectNews, TableVersion, UpstreamRequests,
+    AnnouncedWeights, CrashNews, Datagram, DatagramBody, EngineSummary, EntryHeartbeat,
+    EntryRequests, FleetRoster, LeavingNews, RegionEngines, SuspectNews, TableVersion,
+    UpstreamRequests,
 };
 use crate::relay::fleet::{FleetHandle, FleetState};
 use crate::relay::mirror::TableMirror;
@@ -43,8 +44,8 @@
 const PART_BATCH_INTERVAL: Duration = Duration::from_millis(2);
 /// Maximum number of parts that are told of periodically; those with the latest crashes are.
 const MAX_PERIODIC_PARTS: usize = 32;
-/// Maximum number of suspects (requests that crashed upstreams) in one heartbeat; those with the
-/// latest crashes are sent.
+/// Maximum number of suspects (requests that crashed upstreams) in one heartbeat; those that are
+/// refused, and then those with the latest news, are sent.
 const MAX_SUSPECTS_PER_DATAGRAM: usize = 32;
 
 /// Sends the state of an entry to other daemons.
@@ -270,12 +271,16 @@
         let copy_status = self.mirror.copy_status();
         let answered_ms = copy_status.answered_for.as_millis();
         self.fleet.with(|fleet| {
-            let suspects = fleet.suspects.newest_suspects().into_iter();
+            let suspects = fleet.suspects.newest().into_iter();
             let suspects = suspects.take(MAX_SUSPECTS_PER_DATAGRAM);
-            let suspects = suspects.map(|(key, witnesses)| SuspectNews {
-                customer: key.customer.clone(),
-                digest: key.body_digest.as_bytes().to_vec(),
-                witnesses: witnesses.iter().cloned().collect(),
+            let suspects = suspects.map(|(key, record)| {
+                let crashes = record.crashes().iter();
+                SuspectNews {
+                    customer: key.customer.clone(),
+                    digest: key.body_digest.as_bytes().to_vec(),
+                    crashes: crashes.map(|crash| CrashNews::new(crash, now)).collect(),
+                    is_sound: record.is_sound(),
+                }
             });
             let leaving = fleet.upstreams.leaving().recent(LEAVING_NEWS_TIME, now);
             let leaving = leaving.map(|(upstream, born, age)| LeavingNews {
--- a/crates/agatepin/src/relay/call.rs
+++ b/crates/agatepin/src/relay/call.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use agatepin_core::ids::{RegionId, ServiceId, UpstreamId};
-use agatepin_core::poison::{SuspectAdmission, SuspectKey};
+use agatepin_core::poison::SuspectKey;
 use agatepin_core::relay::catalog::{LookupError, RouteSpec};
 use agatepin_core::relay::upstreams::SendOutcome;
 use hyper::header::CONTENT_LENGTH;
@@ -239,11 +239,11 @@
     /// refuse.
     async fn run_attempts(&self, call: CallState, mut record: AccessRecord) -> Response<ReplyBody> {
         let now = Instant::now();
-        let admission = self.fleet.with(|fleet| {
+        let refused = self.fleet.with(|fleet| {
             fleet.count_request(&call.service, now);
-            fleet.suspects.admission(&call.suspect, now)
+            fleet.suspects.is_refused(&call.suspect, now)
         });
-        if admission == SuspectAdmission::Refuse {
+        if refused {
             return refuse(record, RefusalReason::Suspect);
         }
         if let Err(reason) = call.parts.check() {
@@ -396,11 +396,7 @@
         call.parts.admit()?;
         self.metrics.record_attempt(&call.service);
         self.fleet.unreported.set(true);
-        let mut witness = call.parts.witness();
-        if call.route.kind.is_retryable() {
-            witness.suspect = Some(call.suspect.clone());
-        }
-        Ok(slot.with_witness(witness))
+        Ok(slot.with_witness(call.parts.witness(&call.suspect)))
     }
 
     /// Sends the request to the upstream of `slot` and waits for the head of the answer. `after` is the
@@ -576,6 +572,7 @@
             Err(_) => return Err(AttemptFailure::TimeUp),
         };
         if parts.status.is_success() {
+            slot.record_complete();
             slot.answer_started();
         }
         let retryable = parts.status.is_server_error() && call.route.kind.is_retryable();
--- a/crates/agatepin/src/relay/call/retries.rs
+++ b/crates/agatepin/src/relay/call/retries.rs
@@ -4,7 +4,6 @@
 use std::time::{Duration, Instant};
 
 use agatepin_core::ids::UpstreamId;
-use agatepin_core::poison::SuspectAdmission;
 use agatepin_core::relay::upstreams::SendOutcome;
 use tokio::time::timeout;
 
@@ -133,7 +132,7 @@
     pub(super) fn try_take_retry(&self, call: &CallState, now: Instant) -> bool {
         self.fleet.with(|fleet| {
             let entries = fleet.entries.alive(&self.identity.name, now).count() + 1;
-            let refused = fleet.suspects.admission(&call.suspect, now) == SuspectAdmission::Refuse;
+            let refused = fleet.suspects.is_refused(&call.suspect, now);
             !refused && fleet.try_retry(&call.service, entries, now)
         })
     }
--- a/crates/agatepin/src/relay/datagram.rs
+++ b/crates/agatepin/src/relay/datagram.rs
@@ -10,6 +10,7 @@
 use agatepin_core::relay::catalog::WeightsVersion;
 use agatepin_core::relay::liveness::EntryListing;
 use agatepin_core::relay::readers::CopyStatus;
+use agatepin_core::relay::request_suspects::RequestCrash;
 use agatepin_core::relay::upstreams::{EngineReport, UpstreamState};
 use eyre::{Result, WrapErr};
 use prost::Message;
@@ -391,9 +392,56 @@
     /// BLAKE3 digest of the request's path and body.
     #[prost(bytes = "vec", tag = "2")]
     pub digest: Vec<u8>,
-    /// Identifiers of the crashes, so that each one counts once.
-    #[prost(string, repeated, tag = "3")]
-    pub witnesses: Vec<String>,
+    /// Crashes of upstreams during attempts of the request.
+    #[prost(message, repeated, tag = "4")]
+    pub crashes: Vec<CrashNews>,
+    /// An upstream has answered the request.
+    #[prost(bool, tag = "5")]
+    pub is_sound: bool,
+}
+
+/// Crash of an upstream during an attempt of a request.
+#[derive(Clone, PartialEq, Message)]
+pub struct CrashNews {
+    /// Life of the upstream, so that each crash counts once.
+    #[prost(string, tag = "1")]
+    pub upstream_life: String,
+    /// Time since the attempt was sent, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub sent_ms: u64,
+    /// Time since its break was noticed, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub seen_ms: u64,
+}
+
+impl CrashNews {
+    /// News of `crash` for another process.
+    #[must_use]
+    pub fn new(crash: &RequestCrash, now: Instant) -> Self {
+        let age = |at: Instant| {
+            let age = now.saturating_duration_since(at).as_millis();
+            u64::try_from(age).unwrap_or(u64::MAX)
+        };
+        Self {
+            upstream_life: crash.upstream_life.clone(),
+            sent_ms: age(crash.sent),
+            seen_ms: age(crash.seen),
+        }
+    }
+
+    /// The crash of which this is news.
+    #[must_use]
+    pub fn crash(self, now: Instant) -> RequestCrash {
+        let at = |age_ms| {
+            let age = Duration::from_millis(age_ms);
+            now.checked_sub(age).unwrap_or(now)
+        };
+        RequestCrash {
+            sent: at(self.sent_ms),
+            seen: at(self.seen_ms),
+            upstream_life: self.upstream_life,
+        }
+    }
 }
 
 /// Load of an engine, as its agent reports it.
--- a/crates/agatepin/src/relay/datagram_handler.rs
+++ b/crates/agatepin/src/relay/datagram_handler.rs
@@ -73,7 +73,12 @@
                 customer: suspect.customer,
                 body_digest: digest,
             };
-            fleet.suspects.record_crashes(key, suspect.witnesses, now);
+            for crash in suspect.crashes {
+                fleet.suspects.record_crash(&key, crash.crash(now), now);
+            }
+            if suspect.is_sound {
+                fleet.suspects.record_sound(&key, now);
+            }
         }
     });
 }
--- a/crates/agatepin/src/relay/fleet.rs
+++ b/crates/agatepin/src/relay/fleet.rs
@@ -7,7 +7,6 @@
 use std::time::{Duration, Instant};
 
 use agatepin_core::ids::{ModelId, RegionId, ServiceId};
-use agatepin_core::poison::SuspectTracker;
 use agatepin_core::relay::catalog::{CallerTimeouts, RouteCatalog, WeightsVersion};
 use agatepin_core::relay::client_timeout::{ClientTimeouts, RefusedRequests};
 use agatepin_core::relay::liveness::EntryDirectory;
@@ -15,6 +14,7 @@
 use agatepin_core::relay::part_tracker::PartTracker;
 use agatepin_core::relay::rate_share::{ColdRateShare, RetryLimit, RetryShare};
 use agatepin_core::relay::readers::ReaderDirectory;
+use agatepin_core::relay::request_suspects::RequestSuspects;
 use agatepin_core::relay::schedule::WeightsSchedule;
 use agatepin_core::relay::shutdown::ShutdownTimes;
 use agatepin_core::relay::upstreams::UpstreamDirectory;
@@ -24,10 +24,6 @@
 use crate::relay::connection_timer::TimeoutSource;
 use crate::relay::ports::{FleetUpdate, MirrorTable};
 
-/// Time for which a suspect (a request that crashed upstreams) is remembered: longer than its
-/// callers retry it.
-const SUSPECT_RETENTION: Duration = Duration::from_mins(1);
-
 agatepin_core::value_type! {
     /// State of an agent, from its last report.
     pub struct AgentState {
@@ -71,8 +67,8 @@
     pub client_timeouts: ClientTimeouts,
     /// Requests that entries of this region refused recently.
     pub refusals: RefusedRequests,
-    /// Suspects: requests that crashed upstreams, with identifiers of the crashes.
-    pub suspects: SuspectTracker,
+    /// Suspects: requests that crashed upstreams.
+    pub suspects: RequestSuspects,
     /// Evidence on parts of prompts whose requests crash upstreams.
     pub parts: PartTracker,
     /// Parts that another entry suspects although this one knows that they are sound, by its overlay
@@ -137,7 +133,7 @@
             cold_rates: ColdRateShare::new(rand::random()),
             client_timeouts: ClientTimeouts::default(),
             refusals: RefusedRequests::default(),
-            suspects: SuspectTracker::new(SUSPECT_RETENTION),
+            suspects: RequestSuspects::default(),
             parts: PartTracker::default(),
             part_replies: BTreeMap::new(),
             parts_due: Rc::default(),
--- a/crates/agatepin/src/relay/part_watch.rs
+++ b/crates/agatepin/src/relay/part_watch.rs
@@ -12,6 +12,7 @@
 use agatepin_core::relay::part_tracker::{
     CrashedAttempt, PartAdmission, PartChange, PartTracker, is_valid_id,
 };
+use agatepin_core::relay::request_suspects::RequestCrash;
 
 use crate::relay::fleet::FleetHandle;
 use crate::relay::refusal::RefusalReason;
@@ -28,8 +29,8 @@
 
 /// Reports what one attempt of a request shows of the request and the parts of its prompt.
 pub struct AttemptWitness {
-    /// Customer and digest of the whole request, if its crashes are counted.
-    pub suspect: Option<SuspectKey>,
+    /// Customer and digest of the whole request.
+    suspect: SuspectKey,
     fleet: FleetHandle,
     parts: Rc<[PartKey]>,
     /// Parts of which the request is a trial.
@@ -103,13 +104,13 @@
         parts.is_empty() || self.fleet.with(|fleet| fleet.parts.is_clear(parts, now))
     }
 
-    /// Witness of an attempt that is about to begin.
+    /// Witness of an attempt of the request `suspect` that is about to begin.
     #[must_use]
-    pub fn witness(&self) -> AttemptWitness {
+    pub fn witness(&self, suspect: &SuspectKey) -> AttemptWitness {
         let trial = self.trial.borrow();
         let parts = trial.as_ref().map(|(_, parts)| parts.clone());
         AttemptWitness {
-            suspect: None,
+            suspect: suspect.clone(),
             fleet: self.fleet.clone(),
             parts: self.parts.clone(),
             trial: parts.unwrap_or_default(),
@@ -148,23 +149,36 @@
         self.sent = Some((now, born));
     }
 
-    /// Records that the connection to `upstream` broke before the answer began.
-    pub fn record_crash(&self, upstream: &UpstreamId) {
+    /// Records that the connection to `upstream` broke before the answer was complete.
+    pub fn record_break(&self, upstream: &UpstreamId) {
         let Some((sent, born)) = self.sent else {
             return;
         };
         let now = Instant::now();
-        if let Some(suspect) = &self.suspect {
+        let crash = RequestCrash {
             // Several requests and entries may notice one crash.
-            let crash_id = format!("{upstream}/{born}");
-            self.fleet.with(|fleet| {
-                let suspects = &mut fleet.suspects;
-                suspects.record_crashes(suspect.clone(), [crash_id], now)
-            });
-        }
-        if self.parts.is_empty() {
+            upstream_life: format!("{upstream}/{born}"),
+            sent,
+            seen: now,
+        };
+        self.fleet
+            .with(|fleet| fleet.suspects.record_crash(&self.suspect, crash, now));
+    }
+
+    /// Records that the answer is complete, so that the request has not crashed its upstream.
+    pub fn record_complete(&self) {
+        let now = Instant::now();
+        self.fleet
+            .with(|fleet| fleet.suspects.record_answer(&self.suspect, now));
+    }
+
+    /// Records that the connection to `upstream` broke before the answer began.
+    pub fn record_crash(&self, upstream: &UpstreamId) {
+        self.record_break(upstream);
+        let Some((sent, born)) = self.sent.filter(|_| !self.parts.is_empty()) else {
             return;
-        }
+        };
+        let now = Instant::now();
         let attempt = CrashedAttempt {
             crash: CrashId {
                 upstream: upstream.clone(),
--- a/crates/agatepin/src/relay/stream.rs
+++ b/crates/agatepin/src/relay/stream.rs
@@ -208,6 +208,7 @@
                 continue;
             }
             Ok(NextStep::Read(StreamStep::End)) => {
+                stream.slot.record_complete();
                 resume.record.outcome = "answered";
                 return;
             }
