Crashes after the first event of a stream count

Cause: only breaks before the first event were recorded as crashes of a request.

Change: relay_stream records breaks within a stream too, also where it was resumed meanwhile because it was silent. An engine that its agent reports as loading weights breaks streams without a crash; these are left out.

--- a/crates/agatepin/src/relay/attempt.rs
+++ b/crates/agatepin/src/relay/attempt.rs
@@ -179,6 +179,13 @@
         }
     }
 
+    /// Records that the connection to the upstream broke after the answer began.
+    pub fn record_late_break(&self) {
+        if let Some(witness) = &self.witness {
+            witness.record_break(&self.upstream);
+        }
+    }
+
     /// Records that the answer, a success, is complete.
     pub fn record_complete(&self) {
         if let Some(witness) = &self.witness {
--- a/crates/agatepin/src/relay/part_watch.rs
+++ b/crates/agatepin/src/relay/part_watch.rs
@@ -149,7 +149,8 @@
         self.sent = Some((now, born));
     }
 
-    /// Records that the connection to `upstream` broke before the answer was complete.
+    /// Records that the connection to `upstream` broke before the answer was complete. An engine that
+    /// loads weights breaks its requests without a crash.
     pub fn record_break(&self, upstream: &UpstreamId) {
         let Some((sent, born)) = self.sent else {
             return;
@@ -161,8 +162,13 @@
             sent,
             seen: now,
         };
-        self.fleet
-            .with(|fleet| fleet.suspects.record_crash(&self.suspect, crash, now));
+        self.fleet.with(|fleet| {
+            let state = fleet.upstreams.get(upstream);
+            let report = state.and_then(|state| state.report(now));
+            if report.is_none_or(|report| !report.busy) {
+                fleet.suspects.record_crash(&self.suspect, crash, now);
+            }
+        });
     }
 
     /// Records that the answer is complete, so that the request has not crashed its upstream.
--- a/crates/agatepin/src/relay/stream.rs
+++ b/crates/agatepin/src/relay/stream.rs
@@ -77,8 +77,8 @@
 enum NextStep {
     /// At its upstream.
     Read(StreamStep),
-    /// At another upstream, as its own was silent.
-    Resumed(Box<OpenStream>),
+    /// At another upstream; the text gives the cause.
+    Resumed(Box<OpenStream>, &'static str),
 }
 
 /// Waits up to `wait_limit` for the first complete event after `last_event`, the id of the last event
@@ -213,10 +213,13 @@
                 return;
             }
             Ok(NextStep::Read(StreamStep::Broken(reason))) => (reason, None),
-            Ok(NextStep::Resumed(next)) => ("silent", Some(*next)),
+            Ok(NextStep::Resumed(next, reason)) => (reason, Some(*next)),
             Err(_) => (TIME_UP, None),
         };
         stream.slot.set_outcome(SendOutcome::Failed);
+        if is_break(reason) {
+            stream.slot.record_late_break();
+        }
         let last = stream.splitter.last();
         let (id, upstream) = (&resume.call.request.id, stream.slot.upstream());
         log::info!(request = id, upstream, last_event:? = last, reason; "stream broke off");
@@ -263,13 +266,13 @@
                 step = step.as_mut() => match (step, resumption) {
                     // The resumption may still succeed.
                     (StreamStep::Broken(reason), resumption) => match resumption.await {
-                        Some(next) => NextStep::Resumed(Box::new(next)),
+                        Some(next) => NextStep::Resumed(Box::new(next), reason),
                         None => NextStep::Read(StreamStep::Broken(reason)),
                     },
                     (step, _) => NextStep::Read(step),
                 },
                 next = resumption.as_mut() => match next {
-                    Some(next) => NextStep::Resumed(Box::new(next)),
+                    Some(next) => NextStep::Resumed(Box::new(next), "silent"),
                     None => NextStep::Read(step.await),
                 },
             }
