Three crashes have a stream refused whose answer had begun

Change: breaks carry whether the answer had begun; with such a break three crashes, one after the other, are needed for a refusal.

--- a/crates/agatepin/src/relay/attempt.rs
+++ b/crates/agatepin/src/relay/attempt.rs
@@ -182,7 +182,7 @@
     /// Records that the connection to the upstream broke after the answer began.
     pub fn record_late_break(&self) {
         if let Some(witness) = &self.witness {
-            witness.record_break(&self.upstream);
+            witness.record_break(&self.upstream, true);
         }
     }
 
--- a/crates/agatepin/src/relay/datagram.rs
+++ b/crates/agatepin/src/relay/datagram.rs
@@ -412,6 +412,9 @@
     /// Time since its break was noticed, in milliseconds.
     #[prost(uint64, tag = "3")]
     pub seen_ms: u64,
+    /// The answer had begun.
+    #[prost(bool, tag = "4")]
+    pub is_late: bool,
 }
 
 impl CrashNews {
@@ -426,6 +429,7 @@
             upstream_life: crash.upstream_life.clone(),
             sent_ms: age(crash.sent),
             seen_ms: age(crash.seen),
+            is_late: crash.is_late,
         }
     }
 
@@ -439,6 +443,7 @@
         RequestCrash {
             sent: at(self.sent_ms),
             seen: at(self.seen_ms),
+            is_late: self.is_late,
             upstream_life: self.upstream_life,
         }
     }
--- a/crates/agatepin/src/relay/part_watch.rs
+++ b/crates/agatepin/src/relay/part_watch.rs
@@ -150,8 +150,8 @@
     }
 
     /// Records that the connection to `upstream` broke before the answer was complete. An engine that
-    /// loads weights breaks its requests without a crash.
-    pub fn record_break(&self, upstream: &UpstreamId) {
+    /// loads weights breaks its requests without a crash. `is_late` tells whether the answer had begun.
+    pub fn record_break(&self, upstream: &UpstreamId, is_late: bool) {
         let Some((sent, born)) = self.sent else {
             return;
         };
@@ -161,6 +161,7 @@
             upstream_life: format!("{upstream}/{born}"),
             sent,
             seen: now,
+            is_late,
         };
         self.fleet.with(|fleet| {
             let state = fleet.upstreams.get(upstream);
@@ -180,7 +181,7 @@
 
     /// Records that the connection to `upstream` broke before the answer began.
     pub fn record_crash(&self, upstream: &UpstreamId) {
-        self.record_break(upstream);
+        self.record_break(upstream, false);
         let Some((sent, born)) = self.sent.filter(|_| !self.parts.is_empty()) else {
             return;
         };
--- a/crates/core/src/relay/request_suspects.rs
+++ b/crates/core/src/relay/request_suspects.rs
@@ -13,6 +13,8 @@
 
 /// Number of crashes, one after the other, after which a request is refused.
 pub const CRASHES_TO_REFUSE: usize = 2;
+/// The same if the answer had begun before one of them: a stream may go on at a third upstream.
+pub const LATE_CRASHES_TO_REFUSE: usize = 3;
 /// Time for which a request is refused, from its last crash. Each crash after that time doubles it.
 pub const REFUSAL_TIME: Duration = Duration::from_mins(1);
 /// Longest such time.
@@ -31,6 +33,8 @@
         pub sent: Instant,
         /// When the break was noticed.
         pub seen: Instant,
+        /// The answer had begun.
+        pub is_late: bool,
     }
 
     /// What is known of a request that was in flight when an upstream crashed.
@@ -75,7 +79,12 @@
     }
 
     fn is_guilty(&self) -> bool {
-        !self.is_sound && self.count() >= CRASHES_TO_REFUSE
+        let needed = if self.crashes.iter().any(|crash| crash.is_late) {
+            LATE_CRASHES_TO_REFUSE
+        } else {
+            CRASHES_TO_REFUSE
+        };
+        !self.is_sound && self.count() >= needed
     }
 
     /// Time for which a crash has the request refused.
--- a/crates/core/tests/relay/request_suspects.rs
+++ b/crates/core/tests/relay/request_suspects.rs
@@ -21,6 +21,7 @@
         upstream_life: life.to_owned(),
         sent: start + Duration::from_secs(sent),
         seen: start + Duration::from_secs(seen),
+        is_late: false,
     }
 }
 
@@ -36,6 +37,22 @@
     assert!(!suspects.is_refused(&key(2), start));
 }
 
+/// Guards against a stream that is given up after two breaks although a third upstream can go on with it.
+#[test]
+fn three_crashes_have_a_request_refused_if_its_answer_had_begun() {
+    let start = Instant::now();
+    let mut suspects = RequestSuspects::default();
+    for life in 1..=3 {
+        assert!(!suspects.is_refused(&key(1), start));
+        let late = RequestCrash {
+            is_late: life == 1,
+            ..crash(&format!("a/{life}"), start, life, life)
+        };
+        suspects.record_crash(&key(1), late, start);
+    }
+    assert!(suspects.is_refused(&key(1), start));
+}
+
 /// Guards against sound requests that are refused because several upstreams crashed for one cause.
 #[test]
 fn crashes_of_attempts_that_overlap_count_once() {
@@ -84,6 +101,7 @@
             upstream_life: life,
             sent: refused_until,
             seen: refused_until,
+            is_late: false,
         };
         suspects.record_crash(&key(1), broke, refused_until);
         refused_until += (REFUSAL_TIME * 2_u32.pow(relapse)).min(Duration::from_hours(1));
