Other entries are told of suspects for 3 s unless these are refused

Cause: a crash makes suspects of all requests beside it, and heartbeats told of 32 of them twice a second for a minute.

Change: suspects that are not refused are told of for 3 s after the last news.

--- a/crates/agatepin/src/relay/broadcast.rs
+++ b/crates/agatepin/src/relay/broadcast.rs
@@ -271,7 +271,7 @@
         let copy_status = self.mirror.copy_status();
         let answered_ms = copy_status.answered_for.as_millis();
         self.fleet.with(|fleet| {
-            let suspects = fleet.suspects.newest().into_iter();
+            let suspects = fleet.suspects.news(now).into_iter();
             let suspects = suspects.take(MAX_SUSPECTS_PER_DATAGRAM);
             let suspects = suspects.map(|(key, record)| {
                 let crashes = record.crashes().iter();
--- a/crates/core/src/relay/request_suspects.rs
+++ b/crates/core/src/relay/request_suspects.rs
@@ -19,6 +19,9 @@
 pub const REFUSAL_TIME: Duration = Duration::from_mins(1);
 /// Longest such time.
 const MAX_REFUSAL_TIME: Duration = Duration::from_hours(1);
+/// Time for which other processes are told of a suspect that is not refused: a crash makes suspects of all
+/// requests beside it.
+pub const NEWS_TIME: Duration = Duration::from_secs(3);
 /// Maximum number of suspects that are tracked; crashes of further requests are ignored.
 pub const MAX_SUSPECTS: usize = 4096;
 /// Maximum number of crashes that are remembered of one request: with those of attempts that overlap.
@@ -163,10 +166,15 @@
         record.is_some_and(|record| record.is_guilty() && now < record.refused_until)
     }
 
-    /// The suspects that are refused, then the others; of both, those with the latest news first.
+    /// The suspects that other processes are to be told of: those that are refused, then those with news
+    /// since [`NEWS_TIME`]; of both, those with the latest news first.
     #[must_use]
-    pub fn newest(&self) -> Vec<(&SuspectKey, &SuspectRecord)> {
-        let mut newest: Vec<_> = self.records.iter().collect();
+    pub fn news(&self, now: Instant) -> Vec<(&SuspectKey, &SuspectRecord)> {
+        let is_news = |record: &SuspectRecord| {
+            record.is_guilty() || record.refused_until + NEWS_TIME > now + REFUSAL_TIME
+        };
+        let all = self.records.iter();
+        let mut newest: Vec<_> = all.filter(|(_, record)| is_news(record)).collect();
         newest.sort_by_key(|(key, record)| {
             (
                 Reverse(record.is_guilty()),
--- a/crates/core/tests/relay/request_suspects.rs
+++ b/crates/core/tests/relay/request_suspects.rs
@@ -5,7 +5,7 @@
 use agatepin_core::ids::ContentDigest;
 use agatepin_core::poison::SuspectKey;
 use agatepin_core::relay::request_suspects::{
-    MAX_SUSPECTS, REFUSAL_TIME, RequestCrash, RequestSuspects,
+    MAX_SUSPECTS, NEWS_TIME, REFUSAL_TIME, RequestCrash, RequestSuspects,
 };
 
 fn key(number: usize) -> SuspectKey {
@@ -120,7 +120,11 @@
     for number in 1..=MAX_SUSPECTS {
         suspects.record_crash(&key(number), crash("b/1", start, 8, 9), later);
     }
-    let newest = suspects.newest();
-    assert_eq!(newest.len(), MAX_SUSPECTS);
-    assert_eq!(newest[0].0, &key(0));
+    let news = suspects.news(later);
+    assert_eq!(news.len(), MAX_SUSPECTS);
+    assert_eq!(news[0].0, &key(0));
+    // Guards against heartbeats that crowd the links between regions for a minute after each crash.
+    let news = suspects.news(later + NEWS_TIME);
+    assert_eq!(news.len(), 1);
+    assert_eq!(news[0].0, &key(0));
 }
