A restarted agent waits long enough for the digests of its stage

Callers could still get answers from a mixture of two versions where an agent was killed between its order and the acceptance: an_order_of_an_earlier_process_loads_pieces_of_one_version failed once.

Cause: the successor gave the digests of the staged version up after 3 s. An agent that knows no other agent asks the origin only after 1.5 to 3 s, depending on its address, so that the time could run out; it then staged the next version.

Change: it waits 10 s, which covers that wait and a repeated request at the origin.

--- a/crates/agatepin/src/loader/pieces.rs
+++ b/crates/agatepin/src/loader/pieces.rs
@@ -50,8 +50,9 @@
 const FETCH_TICK: Duration = Duration::from_millis(50);
 /// Interval at which a fetch checks whether the known agents have changed.
 const AGENTS_INTERVAL: Duration = Duration::from_millis(250);
-/// Longest time for the digests of the version that is staged at the agent's start.
-const DIGESTS_TIMEOUT: Duration = Duration::from_secs(3);
+/// Longest time for the digests of a version that may be staged at the agent's start: an agent that knows
+/// no other one asks the origin only after up to 3 s, and a request there may take 3 s and be repeated.
+const DIGESTS_TIMEOUT: Duration = Duration::from_secs(10);
 /// Longest time for the pieces of that version which are corrupt in the stage.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Number of times that a piece may differ from its digest before the digests are fetched again:
