--- a/crates/core/src/relay/readers.rs
+++ b/crates/core/src/relay/readers.rs
@@ -169,7 +169,7 @@
                 is_elsewhere |= has_change;
                 continue;
             }
-            // The copy may lack rows whose removal nobody else tells of.
+            // A removal before that read is in no entry's changes, but shows in the whole copy.
             if !has_change && !has_newer(&state.copy_status.full_reads) {
                 continue;
             }
--- a/crates/core/src/relay/request_suspects.rs
+++ b/crates/core/src/relay/request_suspects.rs
@@ -2,8 +2,8 @@
 //! comes again with the same customer, path and body.
 //!
 //! An upstream that crashes breaks all of its requests, and several upstreams may crash for one cause.
-//! So a crash counts against a request only if it was sent after the crashes that count before: all
-//! breaks of attempts that overlap count once. Requests that an upstream answered are sound.
+//! Attempts of a request that overlap in time therefore count as one crash. Requests that an upstream
+//! has answered are sound.
 
 use std::cmp::Reverse;
 use std::collections::HashMap;
