The limit that an upstream states is read, logged and shown

Cause of this change: no line of the logs told what a worker states of its limit, or which entry knows it since when, so that the hypotheses could not be told apart.

Change: Server-Limit is decoded in platform/; UpstreamLimit orders statements and answers without one by time, as they overtake each other. A line is logged when a limit begins, changes or ends; a malformed one is logged once a life; /dump and a counter show it. Requests are routed as before.

--- a/crates/agatepin/src/relay/attempt.rs
+++ b/crates/agatepin/src/relay/attempt.rs
@@ -7,6 +7,7 @@
 use agatepin_core::ids::UpstreamId;
 use agatepin_core::relay::catalog::WeightsVersion;
 use agatepin_core::relay::notices::MAX_HOLD;
+use agatepin_core::relay::stated_limit::{LimitChange, LimitNotice, RequestRate};
 use agatepin_core::relay::upstreams::{SendOutcome, UpstreamState};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -298,6 +299,7 @@
     // Only an answer to this attempt says something of this upstream.
     if head.id.as_ref() == Some(&request.id) {
         record_notices(fleet, metrics, &request.id, &upstream, born, &head.notices);
+        record_limit(fleet, metrics, request, &upstream, born, &head, now);
     }
     let foreign = head.id.as_ref().is_some_and(|id| *id != request.id);
     if head.not_run && !foreign {
@@ -373,6 +375,46 @@
     }
 }
 
+/// Records the limit that the answer with `head` states, or that it states none. `sent` is the start of
+/// the attempt.
+fn record_limit(
+    fleet: &FleetHandle,
+    metrics: &RelayMetrics,
+    request: &ForwardedRequest,
+    upstream: &UpstreamId,
+    born: u64,
+    head: &AnswerHead,
+    sent: Instant,
+) {
+    let now = Instant::now();
+    let (rate, at) = match head.notices.limit {
+        LimitNotice::Limited(rate) => (Some(rate), now),
+        // An answer without a signature may not be the worker's own.
+        LimitNotice::Unlimited if head.sealed && !head.not_run => (None, sent),
+        LimitNotice::Unlimited => return,
+        LimitNotice::Unreadable => {
+            metrics.record_notice("unreadable_limit");
+            if fleet.with(|fleet| fleet.upstreams.record_unreadable_limit(upstream)) {
+                log::warn!(request = request.id, upstream, born; "stated limit is malformed");
+            }
+            return;
+        }
+    };
+    let change = fleet.with(|fleet| {
+        let upstreams = &mut fleet.upstreams;
+        upstreams.record_limit(upstream, born, rate, at, true, now)
+    });
+    if change == LimitChange::Unchanged {
+        return;
+    }
+    if change == LimitChange::Begun {
+        metrics.record_notice("limit");
+    }
+    // None if the limit has ended.
+    let per_second = rate.map(RequestRate::per_second);
+    log::info!(request = request.id, upstream, born, per_second; "stated limit changed");
+}
+
 /// Logs why an upstream gave no answer to `request`, and records the outcome in `slot`.
 fn exchange_failure(slot: &mut SlotGuard, request: &str, err: &ExchangeError) -> AttemptFailure {
     // The request was not sent to the upstream, or the connection broke before the answer's head.
--- a/crates/agatepin/src/relay/metrics.rs
+++ b/crates/agatepin/src/relay/metrics.rs
@@ -71,8 +71,9 @@
         self.sends.with_label_values(&[service]).inc();
     }
 
-    /// Counts that an upstream said of itself that it is leaving (`leaving`), or that it wants no
-    /// requests for a time (`hold`).
+    /// Counts that an upstream said of itself that it is leaving (`leaving`), that it wants no
+    /// requests for a time (`hold`), that a limit begins (`limit`), or a limit that is malformed
+    /// (`unreadable_limit`).
     pub fn record_notice(&self, notice: &str) {
         self.notices.with_label_values(&[notice]).inc();
     }
--- a/crates/agatepin/src/relay/ports.rs
+++ b/crates/agatepin/src/relay/ports.rs
@@ -6,6 +6,7 @@
 
 use agatepin_core::ids::{CustomerId, DataCentreId, ModelId, PartId, RegionId, UpstreamId};
 use agatepin_core::relay::catalog::{CatalogSpec, WeightsVersion};
+use agatepin_core::relay::stated_limit::LimitNotice;
 use agatepin_core::relay::upstreams::{EngineReport, UpstreamListing};
 use bytes::Bytes;
 use hyper::http::{HeaderMap, StatusCode, Uri, request};
@@ -169,6 +170,8 @@
         pub leaving: bool,
         /// Time for which it wants no more requests from this entry; none if not stated.
         pub hold: Option<Duration>,
+        /// Rate of requests that it takes from all entries together.
+        pub limit: LimitNotice,
     }
 
     /// Query of a caller for the addresses of entries.
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -18,5 +18,6 @@
 pub mod schedule;
 pub mod shutdown;
 pub mod sources;
+pub mod stated_limit;
 pub mod subset;
 pub mod upstreams;
--- a/crates/core/src/relay/upstreams.rs
+++ b/crates/core/src/relay/upstreams.rs
@@ -8,6 +8,7 @@
 use crate::ids::{DataCentreId, InstanceId, RegionId, ServiceId, UpstreamId};
 use crate::relay::catalog::WeightsVersion;
 use crate::relay::notices::{BornMillis, LeavingUpstreams, UpstreamHold};
+use crate::relay::stated_limit::{LimitChange, RequestRate, UpstreamLimit};
 
 /// Age from which an agent's report, or the load sent by another entry, is ignored.
 pub const REPORT_TTL: Duration = Duration::from_millis(800);
@@ -120,6 +121,8 @@
     leaving: bool,
     /// Time in which the upstream wants no requests from this entry.
     hold: UpstreamHold,
+    /// Limit that the upstream states in its answers.
+    limit: UpstreamLimit,
 }
 
 impl UpstreamState {
@@ -140,6 +143,7 @@
             lapsed: false,
             leaving: false,
             hold: UpstreamHold::default(),
+            limit: UpstreamLimit::default(),
         }
     }
 
@@ -244,6 +248,12 @@
     pub fn hold(&self) -> UpstreamHold {
         self.hold
     }
+
+    /// Limit that the upstream states in its answers.
+    #[must_use]
+    pub fn limit(&self) -> UpstreamLimit {
+        self.limit
+    }
 }
 
 /// All upstreams that an entry knows, by id and by address.
@@ -274,6 +284,7 @@
             state.failures = 0;
             state.ejected_until = now;
             state.hold = UpstreamHold::default();
+            state.limit = UpstreamLimit::default();
         }
         state.leaving = leaving;
         if !listing.cold_left.is_zero() {
@@ -416,6 +427,32 @@
         state.is_some_and(|state| state.hold.extend(time, now))
     }
 
+    /// Records that the upstream had the limit `rate`, or none, in its life `born` at the time `at`, as
+    /// described at [`UpstreamLimit::record`].
+    pub fn record_limit(
+        &mut self,
+        id: &str,
+        born: BornMillis,
+        rate: Option<RequestRate>,
+        at: Instant,
+        is_first_hand: bool,
+        now: Instant,
+    ) -> LimitChange {
+        match self.upstreams.get_mut(id) {
+            Some(state) if state.listing.born == born => {
+                state.limit.record(rate, at, is_first_hand, now)
+            }
+            _ => LimitChange::Unchanged,
+        }
+    }
+
+    /// Records that an answer of the upstream stated a malformed limit. Returns true for the first one
+    /// of its life.
+    pub fn record_unreadable_limit(&mut self, id: &str) -> bool {
+        let state = self.upstreams.get_mut(id);
+        state.is_some_and(|state| state.limit.record_unreadable())
+    }
+
     /// Returns true once after each hold of the upstream has ended.
     pub fn take_hold_end(&mut self, id: &str, now: Instant) -> bool {
         let state = self.upstreams.get_mut(id);
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -20,6 +20,7 @@
     pub mod setups;
     pub mod shutdown;
     pub mod sources;
+    pub mod stated_limit;
     pub mod subset;
     pub mod upstreams;
 }
