Entries together keep to the limit that an upstream states

Cause: the limit was not read, and an entry that keeps it alone would let the worker get it once for each entry. Class: a limit of the whole fleet that each process has to know and divide.

The chooser leaves out upstreams without a token; a token is spent by what is sent, of whatever kind, and returned otherwise. Without any, the caller is refused at once with the time of the next token (rate_limited). Heartbeats tell other entries of limits, each entry of those that it heard last itself, at once after a change. An answer to a later request without the header ends the limit, as does a new life; capacity then grows for a second as after a hold.

--- a/crates/agatepin/src/relay/admit.rs
+++ b/crates/agatepin/src/relay/admit.rs
@@ -6,7 +6,6 @@
 use agatepin_core::relay::catalog::RouteSpec;
 use agatepin_core::relay::chooser::{self, EntryLocation, UpstreamChoice, UpstreamCriteria};
 use agatepin_core::relay::client_timeout;
-use agatepin_core::relay::upstreams::UpstreamState;
 
 use tokio::time::timeout;
 
@@ -57,8 +56,8 @@
 /// Finds an upstream with a free slot, and counts the request as in flight at that upstream.
 ///
 /// # Errors
-/// [`RefusalReason::Full`], [`RefusalReason::HeldOff`] or [`RefusalReason::NoUpstream`] if no slot is
-/// free in time.
+/// [`RefusalReason::Full`], [`RefusalReason::HeldOff`], [`RefusalReason::RateLimited`] or
+/// [`RefusalReason::NoUpstream`] if no slot is free in time.
 pub async fn admit(
     fleet: &FleetHandle,
     identity: &EntryIdentity,
@@ -73,10 +72,14 @@
             UpstreamChoice::Send(id) => return Ok(id),
             UpstreamChoice::Full => RefusalReason::Full,
             UpstreamChoice::HeldOff(hold) => RefusalReason::HeldOff(hold),
+            UpstreamChoice::RateLimited(wait) => RefusalReason::RateLimited(wait),
             UpstreamChoice::None => RefusalReason::NoUpstream,
         };
         let left = wait_deadline.saturating_duration_since(now);
-        let is_hopeless = matches!(refusal, RefusalReason::HeldOff(hold) if hold > left);
+        let is_hopeless = matches!(
+            refusal,
+            RefusalReason::HeldOff(wait) | RefusalReason::RateLimited(wait) if wait > left
+        );
         if left.is_zero() || is_hopeless {
             return Err(refusal);
         }
@@ -99,7 +102,7 @@
     let Some(service) = catalog.service(criteria.service) else {
         return UpstreamChoice::None;
     };
-    // Number of entries that share the rate of cold requests, including this one.
+    // Number of entries that share the request rates of upstreams, including this one.
     let entries = fleet.entries.alive(&identity.name, now).count() + 1;
     let model = service.engine.as_ref().map(|engine| &engine.model);
     let upstream_criteria = UpstreamCriteria {
@@ -123,7 +126,7 @@
     };
     let choice = chooser::choose_upstream(
         &fleet.upstreams,
-        &fleet.cold_rates,
+        &fleet.rates,
         &entry_location,
         &upstream_criteria,
         now,
@@ -133,13 +136,9 @@
         if fleet.upstreams.take_hold_end(id, now) {
             log::info!(upstream = id; "hold over");
         }
-        let state = fleet.upstreams.get(id);
-        let cold = state.filter(|state| state.is_cold(now));
-        let rate = service.cold_requests_per_second;
-        if let Some(since) = cold.map(UpstreamState::cold_since)
-            && rate > 0
-        {
-            fleet.cold_rates.take(id, rate, entries, since, now);
+        if let Some(state) = fleet.upstreams.get(id) {
+            let cold_rate = service.cold_requests_per_second;
+            fleet.rates.take(id, state, cold_rate, entries, now);
         }
         fleet.upstreams.count_request(id, criteria.prompt_tokens);
     }
--- a/crates/agatepin/src/relay/attempt.rs
+++ b/crates/agatepin/src/relay/attempt.rs
@@ -125,6 +125,8 @@
     unread: u32,
     /// Outcome that is recorded on drop.
     outcome: OutcomeCell,
+    /// Whether the request has been sent, so that it counts in the upstream's request rate.
+    is_sent: bool,
     /// Reports what the attempt shows of the parts of the request's prompt; none if nothing is to be
     /// reported.
     witness: Option<AttemptWitness>,
@@ -143,6 +145,7 @@
             upstream,
             unread: prompt_tokens,
             outcome: Rc::new(Cell::new(SendOutcome::Abandoned)),
+            is_sent: false,
             witness: None,
         }
     }
@@ -211,6 +214,9 @@
         let now = Instant::now();
         let (upstream, outcome, unread) = (&self.upstream, self.outcome.get(), self.unread);
         self.fleet.with(|fleet| {
+            if !self.is_sent {
+                fleet.rates.give_back(upstream);
+            }
             fleet
                 .upstreams
                 .record_outcome(upstream, outcome, unread, now);
@@ -247,6 +253,7 @@
     let Some((address, born, weights)) = found else {
         return Err(AttemptFailure::Unreachable);
     };
+    slot.is_sent = true;
     if let Some(witness) = &mut slot.witness {
         witness.record_sent(born, now);
     }
@@ -402,7 +409,11 @@
     };
     let change = fleet.with(|fleet| {
         let upstreams = &mut fleet.upstreams;
-        upstreams.record_limit(upstream, born, rate, at, true, now)
+        let change = upstreams.record_limit(upstream, born, rate, at, true, now);
+        if change != LimitChange::Unchanged {
+            fleet.limits_changed.notify_one();
+        }
+        change
     });
     if change == LimitChange::Unchanged {
         return;
--- a/crates/agatepin/src/relay/broadcast.rs
+++ b/crates/agatepin/src/relay/broadcast.rs
@@ -17,7 +17,7 @@
 
 use crate::relay::datagram::{
     AnnouncedWeights, CrashNews, Datagram, DatagramBody, EngineSummary, EntryHeartbeat,
-    EntryRequests, FleetRoster, LeavingNews, RegionEngines, SuspectNews, TableVersion,
+    EntryRequests, FleetRoster, LeavingNews, LimitNews, RegionEngines, SuspectNews, TableVersion,
     UpstreamRequests,
 };
 use crate::relay::fleet::{FleetHandle, FleetState};
@@ -40,6 +40,12 @@
 const LEAVING_NEWS_TIME: Duration = Duration::from_secs(10);
 /// Maximum number of such news in one heartbeat.
 const MAX_LEAVING_PER_DATAGRAM: usize = 32;
+/// Age up to which the news that an upstream's limit has ended is sent to other entries.
+const LIMIT_NEWS_TIME: Duration = Duration::from_secs(10);
+/// Maximum number of limits of upstreams in one heartbeat; the latest observations are sent.
+const MAX_LIMITS_PER_DATAGRAM: usize = 64;
+/// Time for which changes of limits are collected before a heartbeat tells of them.
+const LIMIT_BATCH_INTERVAL: Duration = Duration::from_millis(20);
 /// Time for which news of parts of prompts is collected before it is sent.
 const PART_BATCH_INTERVAL: Duration = Duration::from_millis(2);
 /// Maximum number of parts that are told of periodically; those with the latest crashes are.
@@ -77,12 +83,13 @@
     }
 
     /// Sends heartbeats and rosters until the task is dropped: at each interval, and at once after
-    /// an announcement of weights. After each read of changed rows of the store, only heartbeats
-    /// are sent.
+    /// an announcement of weights. After each read of changed rows of the store, and after changes of
+    /// upstreams' limits, only heartbeats are sent.
     pub async fn run(self) {
-        let (heartbeat_due, rows_read) = self
-            .fleet
-            .with(|fleet| (fleet.heartbeat_due.clone(), fleet.rows_read.clone()));
+        let (heartbeat_due, rows_read, limits_changed) = self.fleet.with(|fleet| {
+            let (due, read) = (fleet.heartbeat_due.clone(), fleet.rows_read.clone());
+            (due, read, fleet.limits_changed.clone())
+        });
         loop {
             self.broadcast();
             let next = Instant::now() + HEARTBEAT_INTERVAL;
@@ -95,6 +102,10 @@
                     // Entries that read the store through this one learn from its heartbeat that
                     // they can pull newer rows.
                     () = rows_read.notified() => self.send_heartbeats(Instant::now()),
+                    () = limits_changed.notified() => {
+                        sleep(LIMIT_BATCH_INTERVAL).await;
+                        self.send_heartbeats(Instant::now());
+                    }
                 }
             }
         }
@@ -289,6 +300,7 @@
                 age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
             });
             EntryHeartbeat {
+                limits: limit_news(fleet, now),
                 leaving: leaving.take(MAX_LEAVING_PER_DATAGRAM).collect(),
                 name: self.name.clone(),
                 incarnation: self.own.incarnation,
@@ -352,6 +364,24 @@
     }
 }
 
+/// Limits of upstreams that this entry tells others of, the latest observations first.
+fn limit_news(fleet: &FleetState, now: Instant) -> Vec<LimitNews> {
+    let limits = fleet.upstreams.first_hand_limits(LIMIT_NEWS_TIME, now);
+    let news = limits.map(|(upstream, born, rate, at)| {
+        let age = now.saturating_duration_since(at).as_millis();
+        LimitNews {
+            upstream: upstream.clone(),
+            born,
+            per_1000_s: rate.map(|rate| rate.0),
+            age_ms: u64::try_from(age).unwrap_or(u64::MAX),
+        }
+    });
+    let mut news: Vec<LimitNews> = news.collect();
+    news.sort_by_key(|news| news.age_ms);
+    news.truncate(MAX_LIMITS_PER_DATAGRAM);
+    news
+}
+
 /// All announced versions of weights, with the age of each announcement, 0 where it is not known.
 fn announced_weights(fleet: &FleetState, now: Instant) -> Vec<AnnouncedWeights> {
     let announced = fleet.weights.iter().flat_map(|(model, schedule)| {
--- a/crates/agatepin/src/relay/datagram.rs
+++ b/crates/agatepin/src/relay/datagram.rs
@@ -224,6 +224,26 @@
     /// Version of the entry's last read of all rows of each table of the store.
     #[prost(message, repeated, tag = "14")]
     pub full_reads: Vec<TableVersion>,
+    /// Limits that upstreams state, or have stated until recently, in answers to the entry.
+    #[prost(message, repeated, tag = "15")]
+    pub limits: Vec<LimitNews>,
+}
+
+/// Limit that an upstream states in its answers, or that it states none any more.
+#[derive(Clone, PartialEq, Message)]
+pub struct LimitNews {
+    /// Id of the upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// Start of the upstream, in milliseconds since the Unix epoch, as its row stated it.
+    #[prost(uint64, tag = "2")]
+    pub born: u64,
+    /// Requests in 1,000 s that the upstream takes from all entries together; none if it has no limit.
+    #[prost(uint32, optional, tag = "3")]
+    pub per_1000_s: Option<u32>,
+    /// Time since the latest answer that showed this, in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub age_ms: u64,
 }
 
 /// An upstream that said in an answer that it is leaving.
--- a/crates/agatepin/src/relay/datagram_handler.rs
+++ b/crates/agatepin/src/relay/datagram_handler.rs
@@ -7,6 +7,7 @@
 use agatepin_core::ids::ContentDigest;
 use agatepin_core::poison::SuspectKey;
 use agatepin_core::relay::part_tracker::PartNews;
+use agatepin_core::relay::stated_limit::{LimitChange, RequestRate};
 use agatepin_core::relay::upstreams::{EngineReport, EntryLoad};
 
 use crate::relay::datagram::{
@@ -65,6 +66,21 @@
                     "upstream is leaving");
             }
         }
+        for news in heartbeat.limits {
+            let age = Duration::from_millis(news.age_ms);
+            let Some(at) = now.checked_sub(age) else {
+                continue;
+            };
+            let (id, rate) = (&news.upstream, news.per_1000_s.map(RequestRate));
+            let upstreams = &mut fleet.upstreams;
+            let change = upstreams.record_limit(id, news.born, rate, at, false, now);
+            if change != LimitChange::Unchanged {
+                // None if the limit has ended.
+                let per_second = rate.map(RequestRate::per_second);
+                log::info!(upstream = id, born = news.born, per_second, age_ms = news.age_ms, from:%;
+                    "stated limit changed");
+            }
+        }
         for suspect in heartbeat.suspects {
             let Some(digest) = ContentDigest::from_slice(&suspect.digest) else {
                 continue;
--- a/crates/agatepin/src/relay/fleet.rs
+++ b/crates/agatepin/src/relay/fleet.rs
@@ -12,11 +12,12 @@
 use agatepin_core::relay::liveness::EntryDirectory;
 use agatepin_core::relay::part_evidence::PartKey;
 use agatepin_core::relay::part_tracker::PartTracker;
-use agatepin_core::relay::rate_share::{ColdRateShare, RetryLimit, RetryShare};
+use agatepin_core::relay::rate_share::{RetryLimit, RetryShare};
 use agatepin_core::relay::readers::ReaderDirectory;
 use agatepin_core::relay::request_suspects::RequestSuspects;
 use agatepin_core::relay::schedule::WeightsSchedule;
 use agatepin_core::relay::shutdown::ShutdownTimes;
+use agatepin_core::relay::upstream_rates::UpstreamRates;
 use agatepin_core::relay::upstreams::UpstreamDirectory;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
@@ -60,9 +61,9 @@
     pub entries: EntryDirectory,
     /// Agents that report to this entry, by overlay address.
     pub agents: HashMap<SocketAddr, AgentState>,
-    /// This entry's share of the request rate that cold upstreams (those in their cold start) can
-    /// handle.
-    pub cold_rates: ColdRateShare,
+    /// This entry's shares of the request rates of upstreams that are cold (in their cold start) or
+    /// state a limit.
+    pub rates: UpstreamRates,
     /// Client timeouts (times that callers state to wait for an answer) seen recently, by route.
     pub client_timeouts: ClientTimeouts,
     /// Requests that entries of this region refused recently.
@@ -83,6 +84,8 @@
     /// State of the other entries' copies of the store's tables, and which of these entries read
     /// the store.
     pub table_copies: ReaderDirectory<MirrorTable>,
+    /// Wakes the broadcaster after an answer showed that an upstream's limit changed.
+    pub limits_changed: Rc<Notify>,
     /// Wakes the broadcaster after changed rows were read from the store.
     pub rows_read: Rc<Notify>,
     /// Wakes tasks that wait for changes in other entries' copies of the tables.
@@ -130,7 +133,7 @@
             weights: BTreeMap::new(),
             entries: EntryDirectory::default(),
             agents: HashMap::new(),
-            cold_rates: ColdRateShare::new(rand::random()),
+            rates: UpstreamRates::new(rand::random()),
             client_timeouts: ClientTimeouts::default(),
             refusals: RefusedRequests::default(),
             suspects: RequestSuspects::default(),
@@ -140,6 +143,7 @@
             shutdown: None,
             heartbeat_due: Rc::default(),
             table_copies: ReaderDirectory::default(),
+            limits_changed: Rc::default(),
             rows_read: Rc::default(),
             peer_rows_changed: Rc::default(),
             retry_limit,
--- a/crates/agatepin/src/relay/refusal.rs
+++ b/crates/agatepin/src/relay/refusal.rs
@@ -32,6 +32,9 @@
         NoUpstream,
         /// All upstreams that could serve the request hold off requests, the first for this time.
         HeldOff(Duration),
+        /// All upstreams that have capacity get requests at the rate that they can handle; this entry
+        /// may send the next one after this time.
+        RateLimited(Duration),
         /// The same request crashed upstreams before.
         Suspect,
         /// A part of the prompt is suspected to crash upstreams, and another request with it is running
@@ -73,6 +76,7 @@
             Self::Full => "full",
             Self::NoUpstream => "no_upstream",
             Self::HeldOff(_) => "held_off",
+            Self::RateLimited(_) => "rate_limited",
             Self::Suspect => "suspect",
             Self::SuspectPart => "suspect_part",
             Self::CrashingPart => "crashing_part",
@@ -100,6 +104,7 @@
             | Self::Full
             | Self::NoUpstream
             | Self::HeldOff(_)
+            | Self::RateLimited(_)
             | Self::Suspect
             | Self::SuspectPart
             | Self::CrashingPart
@@ -116,6 +121,8 @@
                 Some(FULL_RETRY_AFTER)
             }
             Self::HeldOff(left) => Some(left.max(DEFAULT_RETRY_AFTER)),
+            // Other requests wait for the same upstreams.
+            Self::RateLimited(wait) => Some(wait.max(FULL_RETRY_AFTER)),
             Self::NoConfig
             | Self::NoUpstream
             | Self::NotRun
--- a/crates/core/src/relay/chooser.rs
+++ b/crates/core/src/relay/chooser.rs
@@ -4,7 +4,7 @@
 
 use crate::ids::{RegionId, UpstreamId};
 use crate::relay::catalog::{EngineSpec, WeightsVersion};
-use crate::relay::rate_share::ColdRateShare;
+use crate::relay::upstream_rates::UpstreamRates;
 use crate::relay::upstreams::{UpstreamDirectory, UpstreamState};
 
 /// Delay added for an upstream in another data centre of the same region.
@@ -67,17 +67,20 @@
         Full,
         /// All upstreams that are eligible otherwise hold off requests; the first for this time.
         HeldOff(Duration),
+        /// All upstreams that have capacity get requests at the rate that they can handle; this entry
+        /// may send the next one after this time.
+        RateLimited(Duration),
         /// No upstream is eligible.
         None,
     }
 }
 
 /// Chooses the upstream with the lowest expected delay. Penalties for other data centres and
-/// regions favour upstreams close to the entry. `cold` is this entry's share of the request rate of
-/// cold upstreams. `random` returns numbers from 0 to 1.
+/// regions favour upstreams close to the entry. `rates` are this entry's shares of the upstreams'
+/// request rates. `random` returns numbers from 0 to 1.
 pub fn choose_upstream<Random>(
     upstreams: &UpstreamDirectory,
-    cold: &ColdRateShare,
+    rates: &UpstreamRates,
     location: &EntryLocation<'_>,
     criteria: &UpstreamCriteria<'_>,
     now: Instant,
@@ -89,6 +92,7 @@
     let mut best: Option<(Duration, &UpstreamId)> = None;
     let mut any_full = false;
     let mut first_hold_end: Option<Duration> = None;
+    let mut first_token: Option<Duration> = None;
     for (id, state) in upstreams.iter() {
         if !is_eligible(upstreams, criteria, id, state, now) {
             continue;
@@ -97,9 +101,6 @@
             first_hold_end = Some(first_hold_end.map_or(left, |first| first.min(left)));
             continue;
         }
-        let is_rate_limited = criteria.cold_requests_per_second > 0 && state.is_cold(now);
-        let (rate, since) = (criteria.cold_requests_per_second, state.cold_since());
-        let rate_exceeded = is_rate_limited && !cold.allows(id, rate, location.entries, since, now);
         let delay = match criteria.engine {
             Some(engine) => first_event_delay(state, engine, criteria.tokens, now),
             None => PLAIN_REQUEST_DELAY.saturating_mul(state.load(now)),
@@ -107,10 +108,16 @@
         let is_late = criteria.engine.is_some() && delay > criteria.first_event_limit;
         let at_capacity =
             state.load(now) >= capacity(state, criteria.engine.is_some(), location, now);
-        if rate_exceeded || at_capacity || (is_late && state.load(now) > 0) {
+        if at_capacity || (is_late && state.load(now) > 0) {
             any_full = true;
             continue;
         }
+        let cold_rate = criteria.cold_requests_per_second;
+        let token_wait = rates.wait(id, state, cold_rate, location.entries, now);
+        if !token_wait.is_zero() {
+            first_token = Some(first_token.map_or(token_wait, |first| first.min(token_wait)));
+            continue;
+        }
         let score = delay + distance_penalty(state, location) + MAX_JITTER.mul_f64(random());
         if best.is_none_or(|(least, _)| score < least) {
             best = Some((score, id));
@@ -119,7 +126,13 @@
     match best {
         Some((_, id)) => UpstreamChoice::Send(id.clone()),
         None if any_full => UpstreamChoice::Full,
-        None => first_hold_end.map_or(UpstreamChoice::None, UpstreamChoice::HeldOff),
+        None => match (first_token, first_hold_end) {
+            (Some(token), hold) if hold.is_none_or(|hold| token <= hold) => {
+                UpstreamChoice::RateLimited(token)
+            }
+            (_, Some(hold)) => UpstreamChoice::HeldOff(hold),
+            (_, None) => UpstreamChoice::None,
+        },
     }
 }
 
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -20,4 +20,5 @@
 pub mod sources;
 pub mod stated_limit;
 pub mod subset;
+pub mod upstream_rates;
 pub mod upstreams;
--- a/crates/core/src/relay/notices.rs
+++ b/crates/core/src/relay/notices.rs
@@ -84,6 +84,11 @@
         begins
     }
 
+    /// Lets the upstream's capacity grow as after a hold that ends now. A hold that ends later stays.
+    pub fn begin_recovery(&mut self, now: Instant) {
+        self.until = Some(self.until.map_or(now, |known| known.max(now)));
+    }
+
     /// Whether the upstream wants no requests now.
     #[must_use]
     pub fn is_held(&self, now: Instant) -> bool {
--- a/crates/core/src/relay/stated_limit.rs
+++ b/crates/core/src/relay/stated_limit.rs
@@ -63,8 +63,8 @@
     stated: Option<(RequestRate, Instant)>,
     /// Latest time at which the upstream was known to have no limit.
     unlimited_at: Option<Instant>,
-    /// Start of the limit in force, or of the last one.
-    since: Option<Instant>,
+    /// When the limit last began or ended.
+    changed_at: Option<Instant>,
     /// Whether the latest observation is from an answer to this entry.
     is_first_hand: bool,
     /// Whether an answer stated a malformed limit.
@@ -80,10 +80,10 @@
         (!is_lifted).then_some(rate)
     }
 
-    /// Time from which the limit in force, or the last one, is known.
+    /// When the limit last began or ended; none if there was never one.
     #[must_use]
-    pub fn since(&self) -> Option<Instant> {
-        self.since
+    pub fn changed_at(&self) -> Option<Instant> {
+        self.changed_at
     }
 
     /// Records that the upstream had the limit `rate`, or none, at the time `at`: for a limit the
@@ -112,10 +112,13 @@
         }
         match (before, self.rate()) {
             (None, Some(_)) => {
-                self.since = Some(now);
+                self.changed_at = Some(now);
                 LimitChange::Begun
             }
-            (Some(_), None) => LimitChange::Ended,
+            (Some(_), None) => {
+                self.changed_at = Some(now);
+                LimitChange::Ended
+            }
             (before, after) if before != after => LimitChange::Changed,
             _ => LimitChange::Unchanged,
         }
@@ -126,10 +129,12 @@
         !std::mem::replace(&mut self.was_unreadable, true)
     }
 
-    /// Rate in force, or none, and the time of the latest observation, if an answer to this entry made
-    /// that. Other observations are not passed on, as their ages would grow on the way.
+    /// Rate in force, or none once a limit has ended, and the time of the latest observation, if an
+    /// answer to this entry made that. Other observations are not passed on, as their ages would grow
+    /// on the way.
     #[must_use]
     pub fn first_hand(&self) -> Option<(Option<RequestRate>, Instant)> {
+        self.changed_at?;
         let at = self.newest_observation()?;
         self.is_first_hand.then_some((self.rate(), at))
     }
--- a/crates/core/src/relay/upstreams.rs
+++ b/crates/core/src/relay/upstreams.rs
@@ -440,12 +440,32 @@
     ) -> LimitChange {
         match self.upstreams.get_mut(id) {
             Some(state) if state.listing.born == born => {
-                state.limit.record(rate, at, is_first_hand, now)
+                let change = state.limit.record(rate, at, is_first_hand, now);
+                if change == LimitChange::Ended {
+                    state.hold.begin_recovery(now);
+                }
+                change
             }
             _ => LimitChange::Unchanged,
         }
     }
 
+    /// Limits that are in force, and those that ended less than `max_age` ago, where an answer to this
+    /// entry made the latest observation: each with the upstream's life, the rate, or none, and the time
+    /// of the observation.
+    pub fn first_hand_limits(
+        &self,
+        max_age: Duration,
+        now: Instant,
+    ) -> impl Iterator<Item = (&UpstreamId, BornMillis, Option<RequestRate>, Instant)> {
+        self.upstreams.iter().filter_map(move |(id, state)| {
+            let (rate, at) = state.limit.first_hand()?;
+            let changed = now.saturating_duration_since(state.limit.changed_at()?);
+            let is_news = rate.is_some() || changed < max_age;
+            is_news.then_some((id, state.listing.born, rate, at))
+        })
+    }
+
     /// Records that an answer of the upstream stated a malformed limit. Returns true for the first one
     /// of its life.
     pub fn record_unreadable_limit(&mut self, id: &str) -> bool {
