--- a/crates/agatepin/src/relay/http_client.rs
+++ b/crates/agatepin/src/relay/http_client.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::header::{CONNECTION, HOST, HeaderValue};
+use hyper::http::response;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
@@ -197,8 +198,8 @@
     }))
 }
 
-/// Calls the platform at `address` over a connection of its own and returns the status and the
-/// complete body.
+/// Calls the platform at `address` over a connection of its own and returns the head of the answer and
+/// the complete body.
 ///
 /// # Errors
 /// The connection was not established within `connect_timeout`, the answer did not begin within
@@ -209,7 +210,7 @@
     mut request: Request<Full<Bytes>>,
     connect_timeout: Duration,
     time_limit: Duration,
-) -> Result<(StatusCode, Bytes), StoreError> {
+) -> Result<(response::Parts, Bytes), StoreError> {
     request.headers_mut().insert(HOST, host_header(address)?);
     let broken = |err: ExchangeError| StoreError::Broken(err.to_string());
     let exchange = async {
@@ -218,11 +219,11 @@
     };
     let late = || StoreError::Broken(format!("no answer within {time_limit:?}"));
     let (response, guard) = timeout(time_limit, exchange).await.map_err(|_| late())??;
-    let status = response.status();
-    let body = timeout(BODY_TIMEOUT, collect_steady(response.into_body())).await;
+    let (head, body) = response.into_parts();
+    let body = timeout(BODY_TIMEOUT, collect_steady(body)).await;
     drop(guard);
     let late = || StoreError::Broken(format!("answer not complete within {BODY_TIMEOUT:?}"));
-    Ok((status, body.map_err(|_| late())??))
+    Ok((head, body.map_err(|_| late())??))
 }
 
 /// Reads a body to its end, of which some part must arrive every [`BODY_IDLE_TIMEOUT`]: a large answer
--- a/crates/agatepin/src/relay/mirror.rs
+++ b/crates/agatepin/src/relay/mirror.rs
@@ -335,14 +335,26 @@
             };
             self.apply_row(table, row, may_have_lapsed, changed, time);
         }
+        let (rows, mut unchanged) = (read.rows.len(), 0);
         for row in read.rows {
+            if !self.is_newer(table, &row) {
+                unchanged += 1;
+                continue;
+            }
             self.apply_row(table, row, may_have_lapsed, changed, time);
         }
+        // `unchanged` rows are known in the same or a newer version.
+        log::info!(table:?, version, rows, unchanged; "all rows of the table read");
         if table == MirrorTable::Upstreams {
             self.fleet.with(|fleet| fleet.upstreams_read = true);
         }
     }
 
+    /// Whether the row is newer than the one in the copy.
+    fn is_newer(&self, table: MirrorTable, row: &TableRow) -> bool {
+        self.with_copy(table, |copy| copy.is_newer(row))
+    }
+
     /// Runs `act` on the copy of `table`, which is created if missing.
     fn with_copy<Act, Out>(&self, table: MirrorTable, act: Act) -> Out
     where
--- a/crates/agatepin/src/relay/table_copy.rs
+++ b/crates/agatepin/src/relay/table_copy.rs
@@ -72,10 +72,16 @@
         self.keys_missing_in(read)
     }
 
+    /// Whether neither this version of the row nor a newer one is known.
+    #[must_use]
+    pub fn is_newer(&self, row: &TableRow) -> bool {
+        let old = self.rows.get(&row.key);
+        old.is_none_or(|old| old.version < row.version)
+    }
+
     /// Inserts a row. Returns false if this version of the row, or a newer one, is known.
     pub fn insert(&mut self, row: &TableRow) -> bool {
-        let old = self.rows.get(&row.key);
-        if old.is_some_and(|old| old.version >= row.version) {
+        if !self.is_newer(row) {
             return false;
         }
         self.last_change = self.last_change.max(row.version);
