Versions of the store's rows are compared by era first

Cause: an entry's copy of a table kept the larger of two versions, and dropped rows whose version was not larger. After the return it asked for changes after a number of the earlier history: 410 and a list of all rows again and again, and once the store had counted past that number, a feed without what was written under the numbers given out twice. Class: numbers of one history compared with those of another.

Change: a version is the pair of era and number (RowVersion), everywhere, also between entries; an earlier daemon's has the era 0. A feed or list of another era makes the entry read all rows once; an answer of an earlier era is dropped. What the copy takes back of changes that the entry has acted on (a worker that leaves, is gone or started again, an evacuation) is held back for 5 s unless its row is written anew; the configuration goes by its own version as before. Workers that are missing have 2 s, as after an outage. Entries register again, and write the times of weights announcements again, where these are lost.

--- a/crates/agatepin/src/relay/broadcast.rs
+++ b/crates/agatepin/src/relay/broadcast.rs
@@ -10,6 +10,7 @@
 use agatepin_core::relay::catalog::WeightsVersion;
 use agatepin_core::relay::liveness::EntryListing;
 use agatepin_core::relay::part_evidence::PartKey;
+use agatepin_core::relay::row_version::RowVersion;
 use agatepin_core::relay::subset;
 use prost::Message;
 use tokio::net::UdpSocket;
@@ -23,7 +24,7 @@
 use crate::relay::fleet::{FleetHandle, FleetState};
 use crate::relay::mirror::TableMirror;
 use crate::relay::part_news::{EntryParts, MAX_PARTS_PER_DATAGRAM, PartRecord};
-use crate::relay::ports::{MirrorTable, RowVersion, TableStore, WireDialect};
+use crate::relay::ports::{MirrorTable, TableStore, WireDialect};
 
 /// Longest time between two heartbeats of this entry.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
@@ -412,7 +413,8 @@
 fn table_versions(versions: &BTreeMap<MirrorTable, RowVersion>) -> Vec<TableVersion> {
     let versions = versions.iter().map(|(table, version)| TableVersion {
         table: table.number(),
-        version: *version,
+        version: version.number,
+        era: version.era,
     });
     versions.collect()
 }
--- a/crates/agatepin/src/relay/daemon.rs
+++ b/crates/agatepin/src/relay/daemon.rs
@@ -298,7 +298,7 @@
     let mut connection = overlay::pull_connection(stream);
     let copy = match overlay::read_query(&mut connection).await? {
         PullQuery::Rows(query) => MirrorTable::from_number(query.table)
-            .and_then(|table| mirror.newer_rows(table, query.after)),
+            .and_then(|table| mirror.newer_rows(table, query.after())),
         PullQuery::Piece(_) | PullQuery::Digests(_) | PullQuery::Ready(_) => None,
     };
     let answer = copy.map(PullAnswer::from).unwrap_or_default();
--- a/crates/agatepin/src/relay/datagram.rs
+++ b/crates/agatepin/src/relay/datagram.rs
@@ -11,6 +11,7 @@
 use agatepin_core::relay::liveness::EntryListing;
 use agatepin_core::relay::readers::CopyStatus;
 use agatepin_core::relay::request_suspects::RequestCrash;
+use agatepin_core::relay::row_version::RowVersion;
 use agatepin_core::relay::upstreams::{EngineReport, UpstreamState};
 use eyre::{Result, WrapErr};
 use prost::Message;
@@ -266,9 +267,21 @@
     /// Number of the table, as in `MirrorTable::number`.
     #[prost(uint32, tag = "1")]
     pub table: u32,
-    /// Version of the table service.
+    /// Number of the table service's state.
     #[prost(uint64, tag = "2")]
     pub version: u64,
+    /// Era of the table service; 0 from daemons that know none.
+    #[prost(uint64, tag = "3")]
+    pub era: u64,
+}
+
+impl From<&TableVersion> for RowVersion {
+    fn from(of: &TableVersion) -> Self {
+        Self {
+            era: of.era,
+            number: of.version,
+        }
+    }
 }
 
 impl EntryHeartbeat {
@@ -278,7 +291,7 @@
         let by_table = |versions: &[TableVersion]| {
             let known = versions
                 .iter()
-                .filter_map(|of| Some((MirrorTable::from_number(of.table)?, of.version)));
+                .filter_map(|of| Some((MirrorTable::from_number(of.table)?, of.into())));
             known.collect()
         };
         CopyStatus {
--- a/crates/agatepin/src/relay/fleet.rs
+++ b/crates/agatepin/src/relay/fleet.rs
@@ -232,6 +232,31 @@
         }
     }
 
+    /// Whether `update`, read from a copy that the store came back from, takes back a later change: the
+    /// removal of its row if `was_removed`, that an upstream leaves or has started again, or an
+    /// evacuation.
+    #[must_use]
+    pub fn takes_back(&self, update: &FleetUpdate, was_removed: bool) -> bool {
+        match update {
+            FleetUpdate::Upstream(id, listing) => match self.upstreams.get(id) {
+                Some(state) => {
+                    let known = &state.listing;
+                    let is_same_life = known.born == listing.born;
+                    listing.born < known.born || is_same_life && known.draining && !listing.draining
+                }
+                None => was_removed,
+            },
+            FleetUpdate::Evacuated(data_centre) => {
+                was_removed && !self.upstreams.is_evacuated(data_centre)
+            }
+            FleetUpdate::Restored(data_centre) => self.upstreams.is_evacuated(data_centre),
+            FleetUpdate::Catalog(_)
+            | FleetUpdate::UpstreamRemoved(_)
+            | FleetUpdate::Weights { .. }
+            | FleetUpdate::Ignored => false,
+        }
+    }
+
     /// Puts `catalog` in force unless the present one has the same or a newer version.
     fn apply_catalog(&mut self, catalog: RouteCatalog) {
         let old = self.catalog.as_ref().map(|known| known.version());
--- a/crates/agatepin/src/relay/mirror.rs
+++ b/crates/agatepin/src/relay/mirror.rs
@@ -12,7 +12,9 @@
 use agatepin_core::ids::{ModelId, RegionId};
 use agatepin_core::relay::catalog::WeightsVersion;
 use agatepin_core::relay::readers::{self, CopyStatus, NewerRows};
+use agatepin_core::relay::row_version::RowVersion;
 use agatepin_core::relay::upstreams::LAPSE_GRACE;
+use bytes::Bytes;
 use tokio::time::{sleep, timeout};
 
 use crate::relay::admit::EntryIdentity;
@@ -20,7 +22,7 @@
 use crate::relay::fleet::{FleetHandle, RowTime};
 use crate::relay::overlay;
 use crate::relay::ports::{
-    FleetUpdate, MirrorTable, RowVersion, StoreError, TableRead, TableRow, TableStore, WireDialect,
+    FleetUpdate, MirrorTable, StoreError, TableRead, TableRow, TableStore, WireDialect,
 };
 use crate::relay::table_copy::{RowsCopy, TableCopy};
 
@@ -53,9 +55,27 @@
 /// entries already have.
 const FAILURE_PAUSE: Duration = Duration::from_millis(250);
 
+/// Time after the store came back from a copy in which a row of the copy does not take back a change that
+/// this entry has acted on. Operators and upstreams write their rows again meanwhile, and the platform
+/// removes those of upstreams that are gone.
+const RETURN_GRACE: Duration = Duration::from_secs(5);
+
 /// Copies of all tables that an entry mirrors, shared by the tasks of the mirror.
 type SharedCopies = Rc<RefCell<BTreeMap<MirrorTable, TableCopy>>>;
 
+/// How the rows of one read are applied.
+#[derive(Clone, Copy)]
+struct RowContext {
+    /// Rows may be missing only because they expired while the store was unreachable.
+    may_have_lapsed: bool,
+    /// The store came back from a copy since the last read.
+    has_returned: bool,
+    /// When the rows changed.
+    changed: RowTime,
+    /// Reading of the store's clock.
+    time: Duration,
+}
+
 /// Result of one step of a mirror.
 enum StepOutcome {
     /// The platform's store was read.
@@ -280,6 +300,11 @@
         } else {
             self.store.list(table).await?
         };
+        if read.version.era < self.with_copy(table, |copy| copy.version.era) {
+            // Rows of a later era came from another entry meanwhile.
+            let text = format!("rows of the earlier era {}", read.version.era);
+            return Err(StoreError::Broken(text));
+        }
         // Before the rows are applied: some may be missing because they expired in the outage.
         let lost_since = self.lost_since.borrow_mut().remove(&table);
         if let Some(since) = lost_since {
@@ -311,8 +336,14 @@
     ) {
         let time = read.time;
         self.with_copy(table, |copy| copy.advance(read.version, time));
+        let context = RowContext {
+            may_have_lapsed,
+            has_returned: false,
+            changed,
+            time,
+        };
         for row in read.rows {
-            let update = self.apply_row(table, row, may_have_lapsed, changed, time);
+            let update = self.apply_row(table, row, context);
             if let Some(FleetUpdate::Weights { model, version }) = update
                 && changed == RowTime::Now
             {
@@ -325,15 +356,29 @@
     /// removed.
     fn replace_rows(&self, table: MirrorTable, read: TableRead, may_have_lapsed: bool) {
         let (time, version) = (read.time, read.version);
-        let changed = RowTime::After(self.with_copy(table, |copy| copy.complete_until()));
-        let removed_keys = self.with_copy(table, |copy| copy.begin_full_read(&read));
-        for key in removed_keys {
-            let row = TableRow {
-                key,
+        let has_returned = self.with_copy(table, |copy| copy.is_of_earlier_era(version));
+        if has_returned {
+            log::warn!(table:?, era = version.era, number = version.number; "store came back from a copy");
+            *self.store_regained.borrow_mut() = Some(Instant::now());
+            self.remove_lapsed_later();
+        }
+        let context = RowContext {
+            may_have_lapsed: may_have_lapsed || has_returned,
+            has_returned,
+            changed: RowTime::After(self.with_copy(table, |copy| copy.complete_until())),
+            time,
+        };
+        let removed = self.with_copy(table, |copy| copy.begin_full_read(&read));
+        if has_returned && table == MirrorTable::Entries {
+            self.write_lost_rows(&removed);
+        }
+        for row in removed {
+            let removal = TableRow {
+                key: row.key,
                 version,
                 value: None,
             };
-            self.apply_row(table, row, may_have_lapsed, changed, time);
+            self.apply_row(table, removal, context);
         }
         let (rows, mut unchanged) = (read.rows.len(), 0);
         for row in read.rows {
@@ -341,10 +386,13 @@
                 unchanged += 1;
                 continue;
             }
-            self.apply_row(table, row, may_have_lapsed, changed, time);
+            self.apply_row(table, row, context);
         }
         // `unchanged` rows are known in the same or a newer version.
-        log::info!(table:?, version, rows, unchanged; "all rows of the table read");
+        log::info!(
+            table:?, era = version.era, number = version.number, rows, unchanged;
+            "all rows of the table read"
+        );
         if table == MirrorTable::Upstreams {
             self.fleet.with(|fleet| fleet.upstreams_read = true);
         }
@@ -363,28 +411,40 @@
         act(self.copies.borrow_mut().entry(table).or_default())
     }
 
-    /// Applies a row that was read at `time` on the store's clock and changed at `changed`. Returns
-    /// the update that it contains, if it is new and valid.
+    /// Applies a row. Returns the update that it contains, if it is new and valid.
     fn apply_row(
         &self,
         table: MirrorTable,
         row: TableRow,
-        may_have_lapsed: bool,
-        changed: RowTime,
-        time: Duration,
+        context: RowContext,
     ) -> Option<FleetUpdate> {
+        let was_removed = self.with_copy(table, |copy| copy.is_removed(&row.key));
         if !self.with_copy(table, |copy| copy.insert(&row)) {
             return None;
         }
         let now = Instant::now();
         if table == MirrorTable::Entries {
-            self.apply_entry_row(&row, time, now);
+            self.apply_entry_row(&row, context, now);
             return None;
         }
+        let RowContext {
+            may_have_lapsed,
+            changed,
+            ..
+        } = context;
         match self.dialect.read_row(table, &row) {
             Ok(update) => {
-                self.fleet
-                    .with(|fleet| fleet.apply(update.clone(), may_have_lapsed, changed, now));
+                let takes_back = context.has_returned
+                    && self
+                        .fleet
+                        .with(|fleet| fleet.takes_back(&update, was_removed));
+                if takes_back {
+                    log::info!(table:?, key = row.key; "row of the store's copy held back");
+                    self.apply_later(table, row, update.clone());
+                } else {
+                    self.fleet
+                        .with(|fleet| fleet.apply(update.clone(), may_have_lapsed, changed, now));
+                }
                 Some(update)
             }
             Err(err) => {
@@ -399,15 +459,62 @@
         }
     }
 
+    /// Starts a task that applies `update`, which `row` contains, after [`RETURN_GRACE`] unless the row
+    /// has changed until then.
+    fn apply_later(&self, table: MirrorTable, row: TableRow, update: FleetUpdate) {
+        let mirror = self.clone();
+        actix_rt::spawn(async move {
+            sleep(RETURN_GRACE).await;
+            if !mirror.with_copy(table, |copy| copy.has_version(&row)) {
+                return;
+            }
+            log::info!(table:?, key = row.key; "row of the store's copy applied");
+            let now = Instant::now();
+            mirror
+                .fleet
+                .with(|fleet| fleet.apply(update, false, RowTime::After(None), now));
+        });
+    }
+
+    /// Writes those of the rows that were lost with the store's return to a copy again which entries
+    /// write: the registration of this entry, and the times of weights announcements.
+    fn write_lost_rows(&self, lost: &[TableRow]) {
+        for row in lost {
+            let Some(value) = row.value.clone() else {
+                continue;
+            };
+            let (mirror, key) = (self.clone(), row.key.clone());
+            if key.starts_with(WeightsRow::PREFIX) {
+                actix_rt::spawn(self.clone().write_announcement(key, value));
+            } else if key == self.own_name {
+                actix_rt::spawn(async move {
+                    while let Err(err) = mirror
+                        .store
+                        .write_entry_row(&key, Some(value.clone()))
+                        .await
+                    {
+                        log::warn!(err:?; "entry's row not written again; retrying");
+                        sleep(FAILURE_PAUSE).await;
+                    }
+                });
+            }
+        }
+    }
+
     /// Applies a row of the entries' table: the registration of an entry or an announcement of weights.
-    fn apply_entry_row(&self, row: &TableRow, time: Duration, now: Instant) {
+    fn apply_entry_row(&self, row: &TableRow, context: RowContext, now: Instant) {
         let Some(value) = &row.value else {
-            return self.fleet.with(|fleet| fleet.entries.unlist(&row.key));
+            // The row of a live entry that is lost is written again.
+            if !context.has_returned {
+                self.fleet.with(|fleet| fleet.entries.unlist(&row.key));
+            }
+            return;
         };
         if row.key.starts_with(WeightsRow::PREFIX) {
             return match WeightsRow::parse(value) {
                 Ok(announced) => self.fleet.with(|fleet| {
-                    let age = time.saturating_sub(Duration::from_millis(announced.named_ms));
+                    let named = Duration::from_millis(announced.named_ms);
+                    let age = context.time.saturating_sub(named);
                     fleet.record_weights(&announced.model, announced.version, age, now);
                 }),
                 Err(err) => log::warn!(key = row.key, err:%; "malformed weights row skipped"),
@@ -429,37 +536,30 @@
             version,
             named_ms: u64::try_from(time.as_millis()).unwrap_or(u64::MAX),
         };
-        let mirror = self.clone();
+        match row.write() {
+            Ok(value) => {
+                actix_rt::spawn(self.clone().write_announcement(row.key(), value));
+            }
+            Err(err) => log::error!(err:%; "row of a weights announcement cannot be serialised"),
+        }
+    }
+
+    /// Writes the row `key` with the time of an announcement of weights, unless another entry does so
+    /// sooner.
+    async fn write_announcement(self, key: String, value: Bytes) {
         let entries_before = self.fleet.with(|fleet| {
             let alive = fleet.entries.alive_names(&self.own_name, Instant::now());
             alive.filter(|name| **name < self.own_name).count()
         });
-        actix_rt::spawn(async move {
-            sleep(
-                ANNOUNCEMENT_STAGGER
-                    * u32::try_from(entries_before)
-                        .unwrap_or(u32::MAX)
-                        .min(MAX_STAGGER_STEPS),
-            )
-            .await;
-            let value = match row.write() {
-                Ok(value) => value,
-                Err(err) => {
-                    return log::error!(err:%; "row of a weights announcement cannot be serialised");
-                }
-            };
-            while !mirror.is_announcement_recorded(&row.key()) {
-                match mirror
-                    .store
-                    .insert_entry_row(&row.key(), value.clone())
-                    .await
-                {
-                    Ok(()) => return,
-                    Err(err) => log::warn!(err:?; "weights announcement not written; retrying"),
-                }
-                sleep(FAILURE_PAUSE).await;
+        let steps = u32::try_from(entries_before).unwrap_or(u32::MAX);
+        sleep(ANNOUNCEMENT_STAGGER * steps.min(MAX_STAGGER_STEPS)).await;
+        while !self.is_announcement_recorded(&key) {
+            match self.store.insert_entry_row(&key, value.clone()).await {
+                Ok(()) => return,
+                Err(err) => log::warn!(err:?; "weights announcement not written; retrying"),
             }
-        });
+            sleep(FAILURE_PAUSE).await;
+        }
     }
 
     /// Whether this entry's copy of the entries' table has the announcement's row `key`.
@@ -520,7 +620,11 @@
             return false;
         };
         let read = copy.read;
-        log::info!(table:?, peer:%, version = read.version, rows = read.rows.len(); "rows taken from another entry");
+        log::info!(
+            table:?, peer:%, era = read.version.era, number = read.version.number,
+            rows = read.rows.len();
+            "rows taken from another entry"
+        );
         if copy.may_have_lapsed {
             self.remove_lapsed_later();
         }
--- a/crates/agatepin/src/relay/overlay.rs
+++ b/crates/agatepin/src/relay/overlay.rs
@@ -13,8 +13,9 @@
 use tokio::time::timeout;
 use tokio_util::codec::{Encoder, Framed, LengthDelimitedCodec};
 
-use crate::relay::ports::{MirrorTable, RowVersion, TableRead, TableRow};
+use crate::relay::ports::{MirrorTable, TableRead, TableRow};
 use crate::relay::table_copy::RowsCopy;
+use agatepin_core::relay::row_version::RowVersion;
 
 /// Largest frame (one query or answer), in bytes: above the size of all rows of a large fleet.
 const MAX_FRAME_BYTES: usize = 8 * 1024 * 1024;
@@ -59,9 +60,23 @@
     /// Number of the table, as in `MirrorTable::number`.
     #[prost(uint32, tag = "1")]
     pub table: u32,
-    /// Version up to which the sender of the query has all changes; 0 if it has none.
+    /// Number of the version up to which the sender of the query has all changes; 0 if it has none.
     #[prost(uint64, tag = "2")]
     pub after: u64,
+    /// Era of that version.
+    #[prost(uint64, tag = "3")]
+    pub era: u64,
+}
+
+impl RowsQuery {
+    /// Version up to which the sender of the query has all changes.
+    #[must_use]
+    pub fn after(&self) -> RowVersion {
+        RowVersion {
+            era: self.era,
+            number: self.after,
+        }
+    }
 }
 
 /// Query for one piece of weights.
@@ -123,7 +138,7 @@
     /// Rows of the requested table.
     #[prost(message, repeated, tag = "3")]
     pub rows: Vec<WireRow>,
-    /// Version of the table that the rows bring the receiver to.
+    /// Number of the table's version that the rows bring the receiver to.
     #[prost(uint64, tag = "4")]
     pub version: u64,
     /// Reading of the store's monotonic clock when the answer was sent, in milliseconds, as the sender
@@ -142,6 +157,9 @@
     /// Numbers of the requested pieces that the agent has, in answers to [`ReadyQuery`].
     #[prost(uint32, repeated, tag = "9")]
     pub ready: Vec<u32>,
+    /// Era of the table's version.
+    #[prost(uint64, tag = "10")]
+    pub era: u64,
 }
 
 /// Row of a table in an answer.
@@ -150,7 +168,7 @@
     /// Key of the row in its table.
     #[prost(string, tag = "1")]
     pub key: String,
-    /// Version of the row's last change.
+    /// Number of the version of the row's last change.
     #[prost(uint64, tag = "2")]
     pub version: u64,
     /// Encoded value as the store has it; empty if the row was removed.
@@ -159,6 +177,9 @@
     /// The row was removed.
     #[prost(bool, tag = "4")]
     pub removed: bool,
+    /// Era of the version of the row's last change.
+    #[prost(uint64, tag = "5")]
+    pub era: u64,
 }
 
 impl From<RowsCopy> for PullAnswer {
@@ -166,7 +187,8 @@
         let rows = copy.read.rows.into_iter();
         let rows = rows.map(|row| WireRow {
             key: row.key,
-            version: row.version,
+            version: row.version.number,
+            era: row.version.era,
             removed: row.value.is_none(),
             value: row.value.unwrap_or_default(),
         });
@@ -174,7 +196,8 @@
             found: true,
             data: Bytes::new(),
             rows: rows.collect(),
-            version: copy.read.version,
+            version: copy.read.version.number,
+            era: copy.read.version.era,
             time_ms: u64::try_from(copy.read.time.as_millis()).unwrap_or(u64::MAX),
             changes_only: copy.changes_only,
             may_have_lapsed: copy.may_have_lapsed,
@@ -189,13 +212,19 @@
         let rows = answer.rows.into_iter();
         let rows = rows.map(|row| TableRow {
             key: row.key,
-            version: row.version,
+            version: RowVersion {
+                era: row.era,
+                number: row.version,
+            },
             value: (!row.removed).then_some(row.value),
         });
         Self {
             read: TableRead {
                 rows: rows.collect(),
-                version: answer.version,
+                version: RowVersion {
+                    era: answer.era,
+                    number: answer.version,
+                },
                 time: Duration::from_millis(answer.time_ms),
             },
             changes_only: answer.changes_only,
@@ -296,7 +325,8 @@
 ) -> Option<RowsCopy> {
     let query = RowsQuery {
         table: table.number(),
-        after,
+        after: after.number,
+        era: after.era,
     };
     let exchange = async {
         let mut client = PullClient::connect(peer).await?;
--- a/crates/agatepin/src/relay/ports.rs
+++ b/crates/agatepin/src/relay/ports.rs
@@ -6,15 +6,12 @@
 
 use agatepin_core::ids::{CustomerId, DataCentreId, ModelId, PartId, RegionId, UpstreamId};
 use agatepin_core::relay::catalog::{CatalogSpec, WeightsVersion};
+use agatepin_core::relay::row_version::RowVersion;
 use agatepin_core::relay::stated_limit::LimitNotice;
 use agatepin_core::relay::upstreams::{EngineReport, UpstreamListing};
 use bytes::Bytes;
 use hyper::http::{HeaderMap, StatusCode, Uri, request};
 
-/// Number that the platform's table service (the store) gives to each state of its rows; later states
-/// have higher numbers.
-pub type RowVersion = u64;
-
 agatepin_core::key_type! {
     /// Tables that an entry mirrors.
     pub enum MirrorTable {
--- a/crates/agatepin/src/relay/table_copy.rs
+++ b/crates/agatepin/src/relay/table_copy.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use crate::relay::ports::{RowVersion, TableRead, TableRow};
+use agatepin_core::relay::row_version::RowVersion;
+
+use crate::relay::ports::{TableRead, TableRow};
 
 /// Maximum number of removed rows that are remembered, so that other entries can be sent the
 /// changes since an older version: more rows than are removed in a busy minute.
@@ -38,7 +40,7 @@
     pub fully_read: bool,
     /// Time of the store's last answer to this entry; none before the first.
     pub answered_at: Option<Instant>,
-    /// Version of the last read of all rows; 0 before the first. Rows that were removed before it are
+    /// Version of the last read of all rows; the default before the first. Rows that were removed before it are
     /// not known.
     pub full_read_version: RowVersion,
     /// Version of the newest removed row that has been dropped from `rows`; the changes since an older
@@ -64,12 +66,18 @@
         read_at.checked_sub(MAX_READ_DELAY)
     }
 
-    /// Records that all rows were read, as in `read`. Returns the keys of rows that are missing there.
-    pub fn begin_full_read(&mut self, read: &TableRead) -> Vec<String> {
+    /// Whether the copy has rows of an earlier era than `version`.
+    #[must_use]
+    pub fn is_of_earlier_era(&self, version: RowVersion) -> bool {
+        self.store_clock.is_some() && self.version.era < version.era
+    }
+
+    /// Records that all rows were read, as in `read`. Returns the rows that are missing there.
+    pub fn begin_full_read(&mut self, read: &TableRead) -> Vec<TableRow> {
         self.fully_read = true;
         self.full_read_version = self.full_read_version.max(read.version);
         self.advance(read.version, read.time);
-        self.keys_missing_in(read)
+        self.missing_in(read)
     }
 
     /// Whether neither this version of the row nor a newer one is known.
@@ -90,17 +98,30 @@
         true
     }
 
+    /// Whether the copy knows that the row with this key was removed.
+    #[must_use]
+    pub fn is_removed(&self, key: &str) -> bool {
+        self.rows.get(key).is_some_and(|row| row.value.is_none())
+    }
+
+    /// Whether the copy has this version of the row.
+    #[must_use]
+    pub fn has_version(&self, row: &TableRow) -> bool {
+        let known = self.rows.get(&row.key);
+        known.is_some_and(|known| known.version == row.version)
+    }
+
     /// Whether the copy has a row with this key that was not removed.
     #[must_use]
     pub fn contains(&self, key: &str) -> bool {
         self.rows.get(key).is_some_and(|row| row.value.is_some())
     }
 
-    /// Keys of rows that are missing in `read`, a read of the whole table.
-    fn keys_missing_in(&self, read: &TableRead) -> Vec<String> {
+    /// Rows that are missing in `read`, a read of the whole table.
+    fn missing_in(&self, read: &TableRead) -> Vec<TableRow> {
         let present = self.rows.values().filter(|row| row.value.is_some());
         let missing = present.filter(|row| !read.rows.iter().any(|other| other.key == row.key));
-        missing.map(|row| row.key.clone()).collect()
+        missing.cloned().collect()
     }
 
     /// Rows for another entry whose copy is complete up to `after`; none if this copy is not newer.
@@ -112,7 +133,7 @@
             return None;
         }
         let complete_since = self.dropped_version.max(self.full_read_version);
-        let changes_only = after > 0 && after >= complete_since;
+        let changes_only = after.number > 0 && after >= complete_since;
         let wanted = |row: &&TableRow| {
             if changes_only {
                 row.version > after
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -15,6 +15,7 @@
 pub mod readers;
 pub mod request_suspects;
 pub mod rollout;
+pub mod row_version;
 pub mod schedule;
 pub mod shutdown;
 pub mod sources;
--- a/crates/core/src/relay/readers.rs
+++ b/crates/core/src/relay/readers.rs
@@ -7,6 +7,7 @@
 
 use crate::ids::InstanceId;
 use crate::rank;
+use crate::relay::row_version::RowVersion;
 
 /// Number of entries of the whole fleet that poll the store, at least, evenly over the regions. The
 /// others learn from heartbeats which rows changed, so that most of these may fail, or lose their
@@ -33,10 +34,10 @@
         /// Whether the entry reads the store itself and got an answer recently.
         pub reads_store: bool,
         /// Version of the newest change that the entry knows, by table.
-        pub changes: BTreeMap<Table, u64>,
+        pub changes: BTreeMap<Table, RowVersion>,
         /// Version of the entry's last read of all rows, by table. Rows that were removed before it are
         /// missing in the entry's copy, but are not among its changes.
-        pub full_reads: BTreeMap<Table, u64>,
+        pub full_reads: BTreeMap<Table, RowVersion>,
         /// Time since which the store has answered each read of the entry; zero if it answered none
         /// since the last failed one.
         pub answered_for: Duration,
@@ -145,7 +146,7 @@
     pub fn newer_rows(
         &self,
         table: Table,
-        version: u64,
+        version: RowVersion,
         own: &str,
         waited: Duration,
         now: Instant,
@@ -161,7 +162,7 @@
             if !is_recent(state, now) {
                 continue;
             }
-            let has_newer = |versions: &BTreeMap<Table, u64>| {
+            let has_newer = |versions: &BTreeMap<Table, RowVersion>| {
                 versions.get(&table).is_some_and(|newest| *newest > version)
             };
             let has_change = has_newer(&state.copy_status.changes);
--- a/crates/core/tests/relay/readers.rs
+++ b/crates/core/tests/relay/readers.rs
@@ -7,6 +7,7 @@
 use agatepin_core::relay::readers::{
     CopyStatus, NewerRows, READER_TIMEOUT, ReaderDirectory, other_region_wait, readers_per_region,
 };
+use agatepin_core::relay::row_version::RowVersion;
 
 /// Number of regions with entries.
 const REGIONS: usize = 3;
@@ -20,10 +21,15 @@
     ([10, 0, 0, at], 7_700).into()
 }
 
+/// Version with this number, of the era that all tests but one are in.
+fn at(number: u64) -> RowVersion {
+    RowVersion { era: 1, number }
+}
+
 fn status(reads_store: bool, change: u64) -> CopyStatus<u8> {
     CopyStatus {
         reads_store,
-        changes: [(TABLE, change)].into(),
+        changes: [(TABLE, at(change))].into(),
         full_reads: [].into(),
         answered_for: Duration::ZERO,
     }
@@ -87,25 +93,25 @@
     let mut directory = ReaderDirectory::default();
     assert!(directory.update(&"far-1".to_owned(), overlay(9), false, status(true, 7), now));
     assert_eq!(
-        directory.newer_rows(TABLE, 7, OWN, Duration::ZERO, now),
+        directory.newer_rows(TABLE, at(7), OWN, Duration::ZERO, now),
         None
     );
     assert_eq!(
-        directory.newer_rows(TABLE, 6, OWN, Duration::ZERO, now),
+        directory.newer_rows(TABLE, at(6), OWN, Duration::ZERO, now),
         Some(NewerRows::OtherRegion)
     );
     // An entry that does not read the store may have the rows too.
     assert!(directory.update(&names[2], overlay(3), true, status(false, 7), now));
     assert_eq!(
-        directory.newer_rows(TABLE, 6, OWN, Duration::ZERO, now),
+        directory.newer_rows(TABLE, at(6), OWN, Duration::ZERO, now),
         Some(NewerRows::SameRegion(overlay(3)))
     );
     assert_eq!(
-        directory.newer_rows(TABLE, 7, OWN, Duration::ZERO, now),
+        directory.newer_rows(TABLE, at(7), OWN, Duration::ZERO, now),
         None
     );
     assert_eq!(
-        directory.newer_rows(TABLE, 6, OWN, Duration::ZERO, now + READER_TIMEOUT),
+        directory.newer_rows(TABLE, at(6), OWN, Duration::ZERO, now + READER_TIMEOUT),
         None
     );
 }
@@ -156,7 +162,7 @@
         directory.update(&name, overlay(at), true, status(true, 7), now);
     }
     let source = |own: &str, waited: Duration| {
-        let found = directory.newer_rows(TABLE, 6, own, waited, now);
+        let found = directory.newer_rows(TABLE, at(6), own, waited, now);
         let Some(NewerRows::SameRegion(overlay)) = found else {
             panic!("{found:?}");
         };
@@ -186,12 +192,30 @@
     ] {
         let mut directory = ReaderDirectory::default();
         let status = CopyStatus {
-            full_reads: [(TABLE, 9)].into(),
+            full_reads: [(TABLE, at(9))].into(),
             ..status(true, 5)
         };
         assert!(directory.update(&names[0], overlay(1), same_region, status, now));
-        let newer = |version| directory.newer_rows(TABLE, version, &names[3], Duration::ZERO, now);
+        let newer =
+            |version| directory.newer_rows(TABLE, at(version), &names[3], Duration::ZERO, now);
         assert_eq!(newer(7), expected);
         assert_eq!(newer(9), None);
     }
 }
+
+/// Guards against a copy of the era before the store's return that passes for the newer one, as its
+/// numbers are larger.
+#[test]
+fn a_copy_of_a_later_era_is_newer_whatever_its_number() {
+    let (names, now) = (names(), Instant::now());
+    let mut directory = ReaderDirectory::default();
+    let status = CopyStatus {
+        changes: [(TABLE, RowVersion { era: 2, number: 3 })].into(),
+        ..status(true, 5)
+    };
+    directory.update(&names[0], overlay(1), true, status, now);
+    let newer = |version| directory.newer_rows(TABLE, version, OWN, Duration::ZERO, now);
+    assert_eq!(newer(at(5)), Some(NewerRows::SameRegion(overlay(1))));
+    assert_eq!(newer(RowVersion { era: 2, number: 3 }), None);
+    assert_eq!(newer(RowVersion { era: 3, number: 1 }), None);
+}
