Rows that the store's copy has unchanged are not applied again

With the versions of an era later, each row of the first list after the return counted as news, so that workers that had been cold when they wrote their rows were held for cold once more.

Measured: a_cold_start_does_not_begin_again_with_the_store fails before and passes; the other 15 cases of platform/tests/store_era.rs pass.

--- a/crates/agatepin/src/relay/mirror.rs
+++ b/crates/agatepin/src/relay/mirror.rs
@@ -418,8 +418,12 @@
         row: TableRow,
         context: RowContext,
     ) -> Option<FleetUpdate> {
-        let was_removed = self.with_copy(table, |copy| copy.is_removed(&row.key));
-        if !self.with_copy(table, |copy| copy.insert(&row)) {
+        let (was_removed, is_known) = self.with_copy(table, |copy| {
+            let is_known = context.has_returned && copy.has_value(&row);
+            (copy.is_removed(&row.key), is_known)
+        });
+        // A known row that the copy has too is not news, such as of a cold start.
+        if !self.with_copy(table, |copy| copy.insert(&row)) || is_known {
             return None;
         }
         let now = Instant::now();
@@ -465,7 +469,7 @@
         let mirror = self.clone();
         actix_rt::spawn(async move {
             sleep(RETURN_GRACE).await;
-            if !mirror.with_copy(table, |copy| copy.has_version(&row)) {
+            if !mirror.with_copy(table, |copy| copy.has_value(&row)) {
                 return;
             }
             log::info!(table:?, key = row.key; "row of the store's copy applied");
--- a/crates/agatepin/src/relay/table_copy.rs
+++ b/crates/agatepin/src/relay/table_copy.rs
@@ -104,11 +104,11 @@
         self.rows.get(key).is_some_and(|row| row.value.is_none())
     }
 
-    /// Whether the copy has this version of the row.
+    /// Whether the copy has the row with the same value, in any version.
     #[must_use]
-    pub fn has_version(&self, row: &TableRow) -> bool {
+    pub fn has_value(&self, row: &TableRow) -> bool {
         let known = self.rows.get(&row.key);
-        known.is_some_and(|known| known.version == row.version)
+        known.is_some_and(|known| known.value == row.value)
     }
 
     /// Whether the copy has a row with this key that was not removed.
