--- a/crates/core/tests/relay/rate_share.rs
+++ b/crates/core/tests/relay/rate_share.rs
@@ -172,7 +172,7 @@
     upstream.play(begin, Duration::from_secs(20), is_busy);
     // A pause in which unused tokens could pile up, and then all entries at once.
     upstream.play(
-        begin + Duration::from_secs(60),
+        begin + Duration::from_mins(1),
         Duration::from_secs(10),
         |_| true,
     );
@@ -185,7 +185,7 @@
     #[values(1, 9, 50)] entries: usize,
     #[values(4.0, 14.0, 100.0)] per_second: f64,
 ) {
-    const PLAYED: Duration = Duration::from_secs(60);
+    const PLAYED: Duration = Duration::from_mins(1);
     let since = Instant::now();
     let mut upstream = LimitedUpstream::new(entries, per_second, since);
     upstream.play(since, PLAYED, |_| true);
@@ -199,7 +199,7 @@
 fn an_upstream_that_wants_no_requests_is_asked_now_and_then() {
     let since = Instant::now();
     let mut upstream = LimitedUpstream::new(9, 0.0, since);
-    upstream.play(since, Duration::from_secs(60), |_| true);
+    upstream.play(since, Duration::from_mins(1), |_| true);
     assert!(
         (2..=10).contains(&upstream.sent.len()),
         "{}",
