Requests at cold upstreams wait for a token again before they are refused

Cause: the choice reported the time of the next token for cold upstreams too, and a request whose token comes too late is refused at once. Other upstreams may get a slot meanwhile.

Change: only limits that upstreams state are reported so.

--- a/crates/agatepin/src/relay/refusal.rs
+++ b/crates/agatepin/src/relay/refusal.rs
@@ -32,8 +32,8 @@
         NoUpstream,
         /// All upstreams that could serve the request hold off requests, the first for this time.
         HeldOff(Duration),
-        /// All upstreams that have capacity get requests at the rate that they can handle; this entry
-        /// may send the next one after this time.
+        /// All upstreams that have capacity state a limit on the rate of requests; this entry may send
+        /// the next one after this time.
         RateLimited(Duration),
         /// The same request crashed upstreams before.
         Suspect,
--- a/crates/core/src/relay/chooser.rs
+++ b/crates/core/src/relay/chooser.rs
@@ -67,8 +67,8 @@
         Full,
         /// All upstreams that are eligible otherwise hold off requests; the first for this time.
         HeldOff(Duration),
-        /// All upstreams that have capacity get requests at the rate that they can handle; this entry
-        /// may send the next one after this time.
+        /// All upstreams that have capacity state a limit on the rate of requests; this entry may send
+        /// the next one after this time.
         RateLimited(Duration),
         /// No upstream is eligible.
         None,
@@ -108,12 +108,13 @@
         let is_late = criteria.engine.is_some() && delay > criteria.first_event_limit;
         let at_capacity =
             state.load(now) >= capacity(state, criteria.engine.is_some(), location, now);
-        if at_capacity || (is_late && state.load(now) > 0) {
+        let cold_rate = criteria.cold_requests_per_second;
+        let cold_allows = rates.cold_allows(id, state, cold_rate, location.entries, now);
+        if !cold_allows || at_capacity || (is_late && state.load(now) > 0) {
             any_full = true;
             continue;
         }
-        let cold_rate = criteria.cold_requests_per_second;
-        let token_wait = rates.wait(id, state, cold_rate, location.entries, now);
+        let token_wait = rates.stated_wait(id, state, location.entries, now);
         if !token_wait.is_zero() {
             first_token = Some(first_token.map_or(token_wait, |first| first.min(token_wait)));
             continue;
--- a/crates/core/src/relay/upstream_rates.rs
+++ b/crates/core/src/relay/upstream_rates.rs
@@ -24,26 +24,39 @@
         }
     }
 
-    /// Time until one of `entries` live entries may send a request to the upstream `id`; zero if it
-    /// may now. A cold upstream of its service can handle `cold_per_second` requests a second; 0
-    /// stands for no limit.
+    /// Whether one of `entries` live entries may send a request to the upstream `id`, as far as it is
+    /// cold. A cold upstream of its service can handle `cold_per_second` requests a second; 0 stands
+    /// for no limit.
     #[must_use]
-    pub fn wait(
+    pub fn cold_allows(
         &self,
         id: &str,
         state: &UpstreamState,
         cold_per_second: u32,
         entries: usize,
         now: Instant,
+    ) -> bool {
+        let rate = cold_rate(state, cold_per_second, now);
+        rate.is_none_or(|rate| self.cold.wait(id, &rate, entries, now).is_zero())
+    }
+
+    /// Time until the limit that the upstream `id` states allows one of `entries` live entries to send
+    /// a request; zero if it does now.
+    #[must_use]
+    pub fn stated_wait(
+        &self,
+        id: &str,
+        state: &UpstreamState,
+        entries: usize,
+        now: Instant,
     ) -> Duration {
-        let cold = cold_rate(state, cold_per_second, now);
-        let cold = cold.map(|rate| self.cold.wait(id, &rate, entries, now));
-        let stated = stated_rate(state);
-        let stated = stated.map(|rate| self.stated.wait(id, &rate, entries, now));
-        cold.max(stated).unwrap_or_default()
+        let rate = stated_rate(state);
+        rate.map_or(Duration::ZERO, |rate| {
+            self.stated.wait(id, &rate, entries, now)
+        })
     }
 
-    /// Counts a request to the upstream `id`; the parameters are those of [`Self::wait`].
+    /// Counts a request to the upstream `id`; the parameters are those of [`Self::cold_allows`].
     pub fn take(
         &mut self,
         id: &UpstreamId,
