Requests that have arrived are read before a stopping entry closes its idle connections

What callers saw: around a SIGTERM, requests that had arrived at the entry ended with a closed connection and no answer. Cause: 2.5 s after SIGTERM the entry closes the connections that are idle, by what it has read. The runtime announces input only when it turns to its sockets; a process that gets little processor time runs behind them, and closes connections whose next request waits unread. Hyper also takes a connection with a part of a head for idle. Change: at that moment all input that has arrived is read by a direct call; a connection with a part of a head stays open until the head is complete or its limit has passed. The next answer says that the connection closes. Ruled out by trials: requests cut at the end of the grace period, passed on and cut, refusals overtaken by a reset.

--- a/crates/agatepin/src/relay/connection_timer.rs
+++ b/crates/agatepin/src/relay/connection_timer.rs
@@ -2,7 +2,8 @@
 //! the head of a request arrives.
 
 use std::cell::Cell;
-use std::io::{self, IoSlice};
+use std::future::poll_fn;
+use std::io::{self, IoSlice, Read};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
@@ -10,6 +11,7 @@
 
 use agatepin_core::relay::catalog::CallerTimeouts;
 use hyper::body::{Body, Frame, SizeHint};
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -54,6 +56,8 @@
     body_since: Cell<Option<Instant>>,
     /// Set if the connection is to be closed for another one.
     must_close: Cell<bool>,
+    /// Set while input is read that the runtime has not announced yet.
+    reads_unannounced: Cell<bool>,
 }
 
 impl ConnectionTimer {
@@ -67,6 +71,7 @@
             phase_changed: Notify::new(),
             body_since: Cell::new(None),
             must_close: Cell::new(false),
+            reads_unannounced: Cell::new(false),
         })
     }
 
@@ -95,6 +100,40 @@
         }
     }
 
+    /// Whether the connection waits for the first byte of a request, as far as input has been read.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        matches!(self.phase.get(), TimerPhase::Idle)
+    }
+
+    /// Whether a part of a request's head has arrived, and not all of it.
+    #[must_use]
+    pub fn has_partial_head(&self) -> bool {
+        matches!(self.phase.get(), TimerPhase::Head)
+    }
+
+    /// Polls `serving`, which serves the timer's connection, once, and lets it read all input that has
+    /// arrived. The runtime announces input only when it turns to the sockets, which may be long after its
+    /// arrival where the process gets little processor time; without this, a connection with a request
+    /// that waits to be read looks idle.
+    pub async fn poll_with_arrived_input<Serving>(
+        &self,
+        serving: &mut Serving,
+    ) -> Poll<Serving::Output>
+    where
+        Serving: Future + Unpin,
+    {
+        let was_idle = self.is_idle();
+        let requests = self.requests.get();
+        self.reads_unannounced.set(true);
+        let polled = poll_fn(|cx| Poll::Ready(Pin::new(&mut *serving).poll(cx))).await;
+        self.reads_unannounced.set(false);
+        if was_idle && (!self.is_idle() || self.requests.get() > requests) {
+            log::info!("request read at the close of its connection");
+        }
+        polled
+    }
+
     /// Ends the connection at once.
     pub fn close(&self) {
         self.must_close.set(true);
@@ -189,7 +228,7 @@
 impl TimedStream {
     /// Postpones the end of an idle time while the end of an answer is still being sent.
     fn record_write(&self) {
-        if matches!(self.timer.phase.get(), TimerPhase::Idle) {
+        if self.timer.is_idle() {
             self.timer.since.set(Instant::now());
         }
     }
@@ -202,9 +241,18 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
-        let is_idle = matches!(self.timer.phase.get(), TimerPhase::Idle);
-        if is_idle && buf.filled().len() > before {
+        match Pin::new(&mut self.stream).poll_read(cx, buf) {
+            Poll::Ready(read) => read?,
+            Poll::Pending if self.timer.reads_unannounced.get() => {
+                match (&*SockRef::from(&self.stream)).read(buf.initialize_unfilled()) {
+                    Ok(length) => buf.advance(length),
+                    Err(err) if err.kind() == io::ErrorKind::WouldBlock => return Poll::Pending,
+                    Err(err) => return Poll::Ready(Err(err)),
+                }
+            }
+            Poll::Pending => return Poll::Pending,
+        }
+        if self.timer.is_idle() && buf.filled().len() > before {
             self.timer.enter(TimerPhase::Head);
         }
         Poll::Ready(Ok(()))
--- a/crates/agatepin/src/relay/server.rs
+++ b/crates/agatepin/src/relay/server.rs
@@ -4,6 +4,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::{Duration, Instant};
 
 use agatepin_core::relay::liveness::EntryListing;
@@ -127,7 +128,7 @@
 }
 
 /// Serves one connection until it ends. Once `leaving` is cancelled, its next answer is the last one;
-/// once `closing` is, it is closed if no request is in progress.
+/// once `closing` is, it is closed if no request is in progress or has arrived.
 async fn serve<Timeouts, Answer, Answering>(
     stream: TcpStream,
     timer: Rc<ConnectionTimer>,
@@ -175,7 +176,15 @@
             biased;
             ended = &mut connection => ended,
             () = closing.cancelled(), if !is_last => {
-                std::pin::Pin::new(&mut connection).graceful_shutdown();
+                let polled = timer.poll_with_arrived_input(&mut connection).await;
+                if let Poll::Ready(ended) = polled {
+                    return ended;
+                }
+                // Hyper takes a connection with a part of a head for idle. The answer to that request is the
+                // last one, as `leaving` is cancelled first.
+                if !timer.has_partial_head() {
+                    std::pin::Pin::new(&mut connection).graceful_shutdown();
+                }
                 (&mut connection).await
             }
         }
