A connection whose request has arrived is neither cut for a newer one nor closed as idle

What callers saw (in tests): with as many connections as allowed, a request that arrived as its connection was chosen to be closed for a new one was begun and cut without an answer; where the process was late, a request that arrived before the end of the idle time was thrown away unread. Change: before a connection is closed by its timer or for another one, what has arrived is read; a whole request is answered, and that answer is the last one. While such a connection remains, further new ones are refused, so that the limit holds.

--- a/crates/agatepin/src/relay/connection_limit.rs
+++ b/crates/agatepin/src/relay/connection_limit.rs
@@ -107,6 +107,12 @@
         self.0.discards.clone()
     }
 
+    /// Number of open connections.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        self.0.open.borrow().len()
+    }
+
     /// Whether there are as many connections as allowed.
     #[must_use]
     pub fn is_full(&self) -> bool {
@@ -117,10 +123,15 @@
     }
 
     /// Counts a connection with this timer. If there are too many, closes the one that has waited longest
-    /// for its client. Returns none if all others are being served.
+    /// for its client. Returns none if all others are being served, or if the one that was to be closed for
+    /// an earlier connection still is.
     #[must_use]
     pub fn admit(&self, timer: &Rc<ConnectionTimer>) -> Option<ConnectionEntry> {
         let state = &self.0;
+        if state.most.is_some_and(|most| self.open() > most) {
+            self.record_closed();
+            return None;
+        }
         if self.is_full() {
             let open = state.open.borrow();
             let waiting = open.iter();
--- a/crates/agatepin/src/relay/connection_timer.rs
+++ b/crates/agatepin/src/relay/connection_timer.rs
@@ -56,6 +56,8 @@
     body_since: Cell<Option<Instant>>,
     /// Set if the connection is to be closed for another one.
     must_close: Cell<bool>,
+    /// Set if the connection is to be closed after its next answer.
+    is_last: Cell<bool>,
     /// Set while input is read that the runtime has not announced yet.
     reads_unannounced: Cell<bool>,
 }
@@ -71,6 +73,7 @@
             phase_changed: Notify::new(),
             body_since: Cell::new(None),
             must_close: Cell::new(false),
+            is_last: Cell::new(false),
             reads_unannounced: Cell::new(false),
         })
     }
@@ -134,7 +137,25 @@
         polled
     }
 
-    /// Ends the connection at once.
+    /// Whether a request has arrived whole and is being answered.
+    #[must_use]
+    pub fn serves_request(&self) -> bool {
+        matches!(self.phase.get(), TimerPhase::Request) && self.body_since.get().is_none()
+    }
+
+    /// Lets the connection answer the request that has arrived, and closes it after that answer.
+    pub fn end_after_answer(&self) {
+        self.must_close.set(false);
+        self.is_last.set(true);
+    }
+
+    /// Whether the next answer is the last one.
+    #[must_use]
+    pub fn is_last(&self) -> bool {
+        self.is_last.get()
+    }
+
+    /// Ends the connection, unless it turns out that a request has arrived.
     pub fn close(&self) {
         self.must_close.set(true);
         self.phase_changed.notify_one();
@@ -146,21 +167,26 @@
         self.body_since.set(since);
     }
 
+    /// Whether the connection has exceeded one of `limits`, or is to be closed for another one.
+    #[must_use]
+    pub fn is_expired(&self, limits: CallerTimeouts) -> bool {
+        let deadline = self.deadline(limits);
+        self.must_close.get() || deadline.is_some_and(|deadline| deadline <= Instant::now())
+    }
+
     /// Waits until the connection has exceeded a limit of `source`. Limits are read when a phase
     /// begins and when it would end: a limit that is lowered meanwhile does not shorten the phase,
     /// since the caller may not know the lower one yet.
-    pub async fn expired<Source>(&self, source: Source)
+    pub async fn expired<Source>(&self, source: &Source)
     where
         Source: TimeoutSource,
     {
         loop {
-            if self.must_close.get() {
-                return;
-            }
-            let deadline = self.deadline(source.timeouts());
-            if deadline.is_some_and(|deadline| deadline <= Instant::now()) {
+            let limits = source.timeouts();
+            if self.is_expired(limits) {
                 return;
             }
+            let deadline = self.deadline(limits);
             let until_deadline = async {
                 match deadline {
                     Some(deadline) => sleep_until(deadline.into()).await,
--- a/crates/agatepin/src/relay/server.rs
+++ b/crates/agatepin/src/relay/server.rs
@@ -149,10 +149,10 @@
     let service = service_fn(|request| {
         let guard = timer.begin_request();
         let answering = answer(unread.watch(request, guard.clone()));
-        let (unread, leaving) = (unread.clone(), leaving.clone());
+        let (unread, leaving, timer) = (unread.clone(), leaving.clone(), timer.clone());
         async move {
             let mut response = answering.await;
-            if unread.must_close() || leaving.is_cancelled() {
+            if unread.must_close() || leaving.is_cancelled() || timer.is_last() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
@@ -170,7 +170,7 @@
         .header_read_timeout(None)
         .max_buf_size(MAX_HEAD_BYTES)
         .serve_connection(TokioIo::new(io), service);
-    let serving = async {
+    let mut serving = Box::pin(async {
         tokio::select! {
             // A request that has arrived is read before its connection counts as idle.
             biased;
@@ -188,14 +188,27 @@
                 (&mut connection).await
             }
         }
+    });
+    let mut discarding = std::pin::pin!(discarder.run());
+    let ended = loop {
+        tokio::select! {
+            biased;
+            ended = &mut serving => break ended,
+            never = &mut discarding => match never {},
+            () = timer.expired(&timeouts) => {}
+        }
+        // A request that has arrived counts before the timer.
+        let polled = timer.poll_with_arrived_input(&mut serving).await;
+        if let Poll::Ready(ended) = polled {
+            break ended;
+        }
+        if timer.serves_request() {
+            timer.end_after_answer();
+        } else if timer.is_expired(timeouts.timeouts()) {
+            return;
+        }
     };
-    // Input that has arrived counts before the timer.
-    let ended = tokio::select! {
-        biased;
-        ended = serving => ended,
-        never = discarder.run() => match never {},
-        () = timer.expired(timeouts) => return,
-    };
+    drop(serving);
     // Hyper refuses a head that it cannot parse by itself, and reads no further.
     let refused_head = ended.as_ref().is_err_and(hyper::Error::is_parse);
     if let Err(err) = ended {
