Read buffers of callers' connections are 16 KiB at most

What operators saw: on a machine with 160 MB, a crowd of bodies that stop just short of their end took the entry beyond its memory. Cause: the HTTP library doubles the read buffer of a connection up to the largest head, 64 KiB, while a body comes in fast, and keeps it. The limit on connections counts 48 KiB for each. The tests with lowered limits have too few connections to show it. Change: a read takes 8 KiB at most, so that the buffer stays at 16 KiB.

--- a/crates/agatepin/src/relay/connection_timer.rs
+++ b/crates/agatepin/src/relay/connection_timer.rs
@@ -20,6 +20,10 @@
 /// Time for which a connection is kept beyond its limit, for a request that is on its way.
 const TRANSIT_TIME: Duration = Duration::from_secs(1);
 
+/// Largest read from a connection, in bytes. The HTTP library sizes the read buffer that a connection keeps by
+/// its largest reads.
+const MAX_READ_BYTES: usize = 8 * 1024;
+
 /// Source of the time limits of callers' connections that are in force.
 pub trait TimeoutSource: Clone + 'static {
     /// Time limits in force.
@@ -266,19 +270,22 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        match Pin::new(&mut self.stream).poll_read(cx, buf) {
+        let most = buf.remaining().min(MAX_READ_BYTES);
+        let mut part = ReadBuf::new(buf.initialize_unfilled_to(most));
+        match Pin::new(&mut self.stream).poll_read(cx, &mut part) {
             Poll::Ready(read) => read?,
             Poll::Pending if self.timer.reads_unannounced.get() => {
-                match (&*SockRef::from(&self.stream)).read(buf.initialize_unfilled()) {
-                    Ok(length) => buf.advance(length),
+                match (&*SockRef::from(&self.stream)).read(part.initialize_unfilled()) {
+                    Ok(length) => part.advance(length),
                     Err(err) if err.kind() == io::ErrorKind::WouldBlock => return Poll::Pending,
                     Err(err) => return Poll::Ready(Err(err)),
                 }
             }
             Poll::Pending => return Poll::Pending,
         }
-        if self.timer.is_idle() && buf.filled().len() > before {
+        let length = part.filled().len();
+        buf.advance(length);
+        if self.timer.is_idle() && length > 0 {
             self.timer.enter(TimerPhase::Head);
         }
         Poll::Ready(Ok(()))
