The product's own entry reads 8 KiB of a connection a turn

What operators saw: a crowd of bodies, whole, in pieces or in tiny chunks, took agatepin-entry far beyond the bound of its test. Cause: actix reads all input that there is, up to 128 KiB a connection, and queues an item of 32 bytes for each chunk before the handler is polled. The budget for bodies counts what the handler collects only. Change: the server is built from actix's parts with a stream that ends the connection's turn after 8 KiB.

--- a/crates/agatepin/src/entry/call_server.rs
+++ b/crates/agatepin/src/entry/call_server.rs
@@ -4,8 +4,13 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use actix_web::dev::ServerHandle;
-use actix_web::{App, HttpServer, web};
+use actix_http::error::DispatchError;
+use actix_http::{Extensions, HttpService};
+use actix_server::{Server, ServerHandle};
+use actix_service::{IntoServiceFactory, ServiceFactoryExt, fn_service, map_config};
+use actix_web::dev::AppConfig;
+use actix_web::rt::net::TcpStream;
+use actix_web::{App, web};
 use agatepin_core::poison::SuspectTracker;
 use eyre::Result;
 
@@ -17,6 +22,7 @@
 use super::links::AgentLinks;
 use super::metrics::EntryMetrics;
 use super::open_calls::OpenCalls;
+use super::paced_stream::PacedStream;
 use super::placement::CallPlacement;
 use super::process::StateReporter;
 use super::settlement::SettlementNotifier;
@@ -30,6 +36,8 @@
 
 /// Number of threads of the HTTP server, which share the connection limit equally.
 const HTTP_WORKERS: usize = 2;
+/// Time in which a caller closes its connection after the last answer.
+const DISCONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time after which all other entries are assumed to know that this entry is shutting down, and to
 /// no longer list its address to callers.
 const LEAVE_PROPAGATION: Duration = Duration::from_secs(1);
@@ -100,26 +108,46 @@
             address,
             requests: requests.clone(),
         });
-        let server = HttpServer::new(move || {
+        let head_timeout = limits.head_timeout;
+        let server = Server::build()
+            .workers(HTTP_WORKERS)
+            .max_concurrent_connections(limits.max_connections / HTTP_WORKERS)
+            .disable_signals();
+        let shutdown = server.graceful_shutdown_signal();
+        let service = move || {
             let reporter = reporter.clone();
             let registry = reporter.shared.context.registry.clone();
             let check = check.clone();
-            App::new()
-                .app_data(entry.clone())
+            let entry = entry.clone();
+            let app = App::new()
+                .app_data(entry)
                 .configure(|config| http_admin::configure(config, reporter, registry, check))
                 .configure(http::configure::<Table>)
-        })
-        .on_connect(|io, data| {
-            if let Some(closer) = io.downcast_ref().and_then(ReadCloser::new) {
-                data.insert(closer);
-            }
-        })
-        .workers(HTTP_WORKERS)
-        .max_connections(limits.max_connections / HTTP_WORKERS)
-        .client_request_timeout(limits.head_timeout)
-        .disable_signals()
-        .listen(parts.http)?
-        .run();
+                .into_factory()
+                .map_err(|err| err.error_response());
+            let shutdown = shutdown.clone();
+            let service = HttpService::build()
+                .graceful_shutdown_signal(move || {
+                    let shutdown = shutdown.clone();
+                    async move { shutdown.notified().await }
+                })
+                .client_request_timeout(head_timeout)
+                .client_disconnect_timeout(DISCONNECT_TIMEOUT)
+                .h1_allow_half_closed(true)
+                .local_addr(address)
+                .on_connect_ext(|stream: &PacedStream, data: &mut Extensions| {
+                    if let Some(closer) = ReadCloser::new(stream.stream()) {
+                        data.insert(closer);
+                    }
+                })
+                .h1(map_config(app, |()| AppConfig::default()));
+            fn_service(|stream: TcpStream| async move {
+                let peer = stream.peer_addr().ok();
+                Ok::<_, DispatchError>((PacedStream::new(stream), peer))
+            })
+            .and_then(service)
+        };
+        let server = server.listen("callers", parts.http, service)?.run();
         let handle = server.handle();
         actix_web::rt::spawn(server);
         Ok(Self {
--- a/crates/agatepin/src/entry/mod.rs
+++ b/crates/agatepin/src/entry/mod.rs
@@ -13,6 +13,7 @@
 pub mod links;
 pub mod metrics;
 pub mod open_calls;
+mod paced_stream;
 pub mod placement;
 mod process;
 pub mod reply;
