--- a/crates/agatepin/src/relay/connection_limit.rs
+++ b/crates/agatepin/src/relay/connection_limit.rs
@@ -10,6 +10,10 @@
 
 use crate::relay::connection_timer::ConnectionTimer;
 
+/// Part of the allowed connections that there may be besides: those that were to be closed for newer ones,
+/// and first answer a request that had arrived.
+const EXCESS_DIVISOR: usize = 16;
+
 /// Limits of one listener; clones refer to the same connections.
 #[derive(Clone, Default)]
 pub struct ConnectionLimit(Rc<LimitState>);
@@ -122,13 +126,19 @@
             .is_some_and(|most| state.open.borrow().len() >= most)
     }
 
+    /// Whether there are as many connections beyond the allowed ones as there may be.
+    fn is_exceeded(&self) -> bool {
+        let most = self.0.most;
+        most.is_some_and(|most| self.open() >= most + (most / EXCESS_DIVISOR).max(1))
+    }
+
     /// Counts a connection with this timer. If there are too many, closes the one that has waited longest
-    /// for its client. Returns none if all others are being served, or if the one that was to be closed for
-    /// an earlier connection still is.
+    /// for its client. Returns none if all others are being served, or if too many of those that were to be
+    /// closed for earlier connections still are.
     #[must_use]
     pub fn admit(&self, timer: &Rc<ConnectionTimer>) -> Option<ConnectionEntry> {
         let state = &self.0;
-        if state.most.is_some_and(|most| self.open() > most) {
+        if self.is_exceeded() {
             self.record_closed();
             return None;
         }
