A request whose handler panics is answered 502

What callers saw: where the handling of a request panicked, its connection was closed without an answer; the access log called it caller_left, as if the caller had disconnected. Cause: the task of the connection unwound with the handler. Change: a panic ends the request only: 502, as it may have run, and the outcome panicked in log and metrics.

--- a/crates/agatepin/src/relay/access_log.rs
+++ b/crates/agatepin/src/relay/access_log.rs
@@ -28,7 +28,7 @@
     /// Upstreams that were chosen for the request, in the order of the attempts.
     pub sent_to: Vec<UpstreamId>,
     /// Outcome of the request in the log and the metrics: `answered`, `streaming`, `stream_broken`,
-    /// `caller_left` (the caller disconnected), or the code of a refusal.
+    /// `caller_left` (the caller disconnected), `panicked` (its handler did), or the code of a refusal.
     pub outcome: &'static str,
     /// HTTP status that the caller received; 0 if it disconnected before.
     pub status: u16,
@@ -66,6 +66,10 @@
 
 impl Drop for AccessRecord {
     fn drop(&mut self) {
+        // Dropped as the handler's panic unwinds, which is no disconnection of the caller.
+        if std::thread::panicking() {
+            self.outcome = "panicked";
+        }
         let ms = u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX);
         let head_ms = self.head.map(|head| head.as_millis());
         let head_ms = head_ms.and_then(|ms| u64::try_from(ms).ok());
--- a/crates/agatepin/src/relay/server.rs
+++ b/crates/agatepin/src/relay/server.rs
@@ -3,6 +3,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 use std::task::Poll;
 use std::time::{Duration, Instant};
@@ -12,6 +13,7 @@
 use agatepin_core::relay::speed::SpeedFactor;
 use agatepin_core::relay::stated_limit::RequestRate;
 use bytes::Bytes;
+use futures_util::FutureExt;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -33,6 +35,7 @@
 use crate::relay::metrics::RelayMetrics;
 use crate::relay::part_watch::state_name;
 use crate::relay::ports::WireDialect;
+use crate::relay::refusal::{self, RefusalReason};
 
 /// Time for which callers may cache the addresses of entries in an answer of the directory.
 const ADDRESSES_TTL: Duration = Duration::from_secs(2);
@@ -151,7 +154,13 @@
         let answering = answer(unread.watch(request, guard.clone()));
         let (unread, leaving, timer) = (unread.clone(), leaving.clone(), timer.clone());
         async move {
-            let mut response = answering.await;
+            let answered = AssertUnwindSafe(answering).catch_unwind().await;
+            let mut response = answered.unwrap_or_else(|_| {
+                // The panic hook has logged where. Without an answer, the caller would not know that the
+                // request may have run.
+                log::error!("handler of a request panicked");
+                refusal::reply(RefusalReason::Broken, None)
+            });
             if unread.must_close() || leaving.is_cancelled() || timer.is_last() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
