--- a/crates/agatepin/tests/cli.rs
+++ b/crates/agatepin/tests/cli.rs
@@ -5,6 +5,7 @@
 
 use assert_cmd::Command;
 use rstest::rstest;
+use socket2::{Domain, Socket, Type};
 use tonic::Code;
 
 #[path = "support/fake_operator.rs"]
@@ -32,8 +33,13 @@
 
 /// Address of a listener that is closed again: connections to it are refused.
 fn closed_address() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    let any: SocketAddr = ([127, 0, 0, 1], 0).into();
+    socket.bind(&any.into()).unwrap();
+    let address = socket.local_addr().unwrap().as_socket().unwrap();
+    // The port stays taken without a listener: given back, it could be that of another test's server.
+    std::mem::forget(socket);
+    address
 }
 
 #[rstest]
