Access log and metrics tell why a request got no place

Cause: a refusal for want of a place was logged as "full" whatever refused it: the admission level, a line at this entry or at others, the limit of requests at the upstreams, a cold rate, memory, or a first event that comes too late. Change: Full carries its cause; a refusal logs the cause with the usable and reported upstreams of the service, their places and known load and the level. Two metrics, agatepin_relay_full_total and agatepin_relay_upstreams. Tests of the chooser that expected Full now expect its cause, which is stricter.

--- a/crates/agatepin/src/relay/access_log.rs
+++ b/crates/agatepin/src/relay/access_log.rs
@@ -2,8 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use agatepin_core::ids::UpstreamId;
+use agatepin_core::ids::{ServiceId, UpstreamId};
+use agatepin_core::relay::chooser::FullCause;
 
+use crate::relay::admit::PlaceSnapshot;
 use crate::relay::metrics::RelayMetrics;
 
 /// Data of one request for the access log and the metrics. The log line is written on drop, so that requests
@@ -32,10 +34,25 @@
     pub outcome: &'static str,
     /// HTTP status that the caller received; 0 if it disconnected before.
     pub status: u16,
+    /// Why the request got no place, with what the entry knew of the places of its service; none if it was
+    /// not refused for that.
+    pub full: Option<FullRecord>,
     /// Time from the arrival of the request to the head of its answer; none while there is no head.
     head: Option<Duration>,
 }
 
+agatepin_core::value_type! {
+    /// A refusal for want of a place.
+    pub struct FullRecord {
+        /// Why the request got no place.
+        pub cause: FullCause,
+        /// Service of the request.
+        pub service: ServiceId,
+        /// What the entry knew of the service's places when it refused the request.
+        pub places: PlaceSnapshot,
+    }
+}
+
 impl AccessRecord {
     /// Creates the record of the request with the attempt id `id`, which arrived at `started`.
     #[must_use]
@@ -51,6 +68,7 @@
             sent_to: Vec::new(),
             outcome: "caller_left",
             status: 0,
+            full: None,
             head: None,
         }
     }
@@ -79,9 +97,16 @@
         if let Some(met) = met {
             self.metrics.record_objective(met);
         }
+        let full = self.full.as_ref();
+        if let Some(full) = full {
+            self.metrics.record_full(&full.service, full.cause.code());
+        }
+        let places = full.map(|full| &full.places);
         // The line of the access log: one for each request, when it ends. `sent_to` are the upstreams
         // of its attempts, `head_ms` the time to the head of the answer and `ms` the time to its end.
-        // `met`: a success began within the route's objective.
+        // `met`: a success began within the route's objective. The fields after it are set if the request got
+        // no place: `usable` upstreams of the service, those with a recent report (`reported`), their places
+        // and known load, and the admission level in thousandths.
         log::info!(
             request = self.id,
             route = self.route,
@@ -92,7 +117,14 @@
             status = self.status,
             head_ms,
             ms,
-            met;
+            met,
+            service = full.map(|full| full.service.as_str()),
+            cause = full.map(|full| full.cause.code()),
+            usable = places.map(|places| places.usable),
+            reported = places.map(|places| places.reported),
+            places = places.map(|places| places.places),
+            load = places.map(|places| places.load),
+            level = places.map(|places| places.level);
             "request"
         );
     }
--- a/crates/agatepin/src/relay/admit.rs
+++ b/crates/agatepin/src/relay/admit.rs
@@ -8,8 +8,10 @@
 use agatepin_core::ids::{CustomerId, RegionId, ServiceId, UpstreamId};
 use agatepin_core::relay::admission_level::{AdmissionLevel, CONGESTED_QUEUE};
 use agatepin_core::relay::caller_time::CallerTime;
-use agatepin_core::relay::catalog::RouteSpec;
-use agatepin_core::relay::chooser::{self, EntryLocation, UpstreamChoice, UpstreamCriteria};
+use agatepin_core::relay::catalog::{RouteSpec, WeightsVersion};
+use agatepin_core::relay::chooser::{
+    self, EntryLocation, FullCause, UpstreamChoice, UpstreamCriteria,
+};
 use agatepin_core::relay::request_size::StatedOutput;
 use agatepin_core::relay::wait_line::WaitLine;
 use tokio::sync::oneshot;
@@ -98,7 +100,9 @@
     /// Whether the request waits because upstreams of `region` are full.
     #[must_use]
     pub fn waits_in(&self, region: &str) -> bool {
-        self.refusal == RefusalReason::Full && !self.is_late && self.criteria.allows_region(region)
+        matches!(self.refusal, RefusalReason::Full(_))
+            && !self.is_late
+            && self.criteria.allows_region(region)
     }
 }
 
@@ -125,19 +129,21 @@
         if criteria.is_first_attempt() {
             level.record_arrival(priority, &criteria.customer, now);
             if level.refuses(priority, &criteria.customer, free, rand::random(), now) {
-                return Arrival::Refused(RefusalReason::Full);
+                return Arrival::Refused(RefusalReason::Full(FullCause::Level));
             }
             lines_up = level.lines_up(priority, free, now);
         }
         let engine_queue = engine_queue(level, now);
         let line = state.lines.entry(criteria.service.clone()).or_default();
         let mut ahead = line.ahead(criteria.priority);
-        let must_wait = lines_up
-            || ahead.any(|other| !other.is_late && other.criteria.shares_upstreams(&criteria));
+        let is_ahead =
+            ahead.any(|other| !other.is_late && other.criteria.shares_upstreams(&criteria));
         drop(ahead);
         let limits = (line.answer_time(), engine_queue);
-        let choice = if must_wait {
-            UpstreamChoice::Full
+        let choice = if is_ahead {
+            UpstreamChoice::Full(FullCause::Line)
+        } else if lines_up {
+            UpstreamChoice::Full(FullCause::PeerLines)
         } else {
             choose_upstream(state, identity, &criteria, limits, now)
         };
@@ -148,7 +154,8 @@
                 level.record_place(priority, now);
                 return Arrival::Slot(id);
             }
-            UpstreamChoice::Full | UpstreamChoice::Late => RefusalReason::Full,
+            UpstreamChoice::Full(cause) => RefusalReason::Full(cause),
+            UpstreamChoice::Late => RefusalReason::Full(FullCause::Late),
             UpstreamChoice::HeldOff(hold) => RefusalReason::HeldOff(hold),
             UpstreamChoice::RateLimited(wait) => RefusalReason::RateLimited(wait),
             UpstreamChoice::None => return Arrival::Refused(RefusalReason::NoUpstream),
@@ -171,7 +178,9 @@
     if !fleet.serves_lines.replace(true) {
         actix_rt::spawn(serve_lines(fleet.clone(), identity.clone()));
     }
-    let slot = answer.await.unwrap_or(Err(RefusalReason::Full));
+    let slot = answer
+        .await
+        .unwrap_or(Err(RefusalReason::Full(FullCause::Line)));
     let outcome = if slot.is_ok() {
         "admitted"
     } else {
@@ -181,6 +190,55 @@
     slot
 }
 
+agatepin_core::value_type! {
+    /// What an entry knows of the places of a service, for the log of a refusal.
+    pub struct PlaceSnapshot {
+        /// Upstreams that take requests and hold weights that may serve.
+        pub usable: u32,
+        /// Those of them whose load a recent report tells.
+        pub reported: u32,
+        /// Their slots and queues.
+        pub places: u32,
+        /// Requests that are known at them.
+        pub load: u32,
+        /// Thousandths of the arriving requests that are refused at once.
+        pub level: u32,
+    }
+}
+
+/// What this entry knows of the places of `service` now.
+pub fn place_snapshot(state: &FleetState, service: &str, now: Instant) -> PlaceSnapshot {
+    let level = state.levels.get(service);
+    let oldest = oldest_weights(state, service, now);
+    let mut snapshot = PlaceSnapshot {
+        usable: 0,
+        reported: 0,
+        places: 0,
+        load: 0,
+        level: level.map_or(0, AdmissionLevel::thousandths),
+    };
+    for (_, upstream) in state.upstreams.iter() {
+        let listing = &upstream.listing;
+        if listing.service != service || !upstream.is_usable(now) || upstream.weights(now) < oldest
+        {
+            continue;
+        }
+        snapshot.usable += 1;
+        snapshot.reported += u32::from(upstream.report(now).is_some());
+        let places = upstream.listing.slots.saturating_add(CONGESTED_QUEUE);
+        snapshot.places = snapshot.places.saturating_add(places);
+        snapshot.load = snapshot.load.saturating_add(upstream.load(now));
+    }
+    snapshot
+}
+
+/// Oldest version of the weights that may serve requests for `service`; none if all may.
+fn oldest_weights(state: &FleetState, service: &str, now: Instant) -> Option<WeightsVersion> {
+    let catalog = state.catalog.as_ref()?;
+    let engine = catalog.service(service)?.engine.as_ref()?;
+    state.weights.get(&engine.model)?.required(now)
+}
+
 /// Limit of the requests that wait at an engine, if it is lower than usual.
 fn engine_queue(level: &AdmissionLevel, now: Instant) -> Option<u32> {
     level.is_congested(now).then_some(CONGESTED_QUEUE)
@@ -476,12 +534,11 @@
     };
     // Number of entries that share the request rates of upstreams, including this one.
     let entries = fleet.entries.alive(&identity.name, now).count() + 1;
-    let model = service.engine.as_ref().map(|engine| &engine.model);
     let upstream_criteria = UpstreamCriteria {
         service: &criteria.service,
         allowed_regions: [&criteria.route.home_regions, &criteria.allowed_regions],
         tried: &criteria.tried,
-        weights: model.and_then(|model| fleet.weights.get(model)?.required(now)),
+        weights: oldest_weights(fleet, &criteria.service, now),
         engine: service.engine.as_ref(),
         tokens: criteria.prompt_tokens,
         output: criteria.output,
--- a/crates/agatepin/src/relay/call.rs
+++ b/crates/agatepin/src/relay/call.rs
@@ -21,7 +21,7 @@
 use tokio_util::sync::CancellationToken;
 
 use self::retries::{PastAttempts, RetryDecision};
-use crate::relay::access_log::AccessRecord;
+use crate::relay::access_log::{AccessRecord, FullRecord};
 use crate::relay::admit::{self, AdmissionCriteria, EntryIdentity, admit};
 use crate::relay::answer_buffer::{AnswerBuffers, BufferError};
 use crate::relay::attempt::{AttemptFailure, ForwardedRequest, OpenAnswer, SlotGuard, send_once};
@@ -384,6 +384,13 @@
             ReturnTime::AsLateAsPossible => Some(latest),
         };
         record.record_head(reason.status().as_u16(), reason.code());
+        record.full = reason.full_cause().map(|cause| FullRecord {
+            cause,
+            service: call.service.clone(),
+            places: self
+                .fleet
+                .with(|state| admit::place_snapshot(state, &call.service, now)),
+        });
         refusal::reply(reason, delay)
     }
 
--- a/crates/agatepin/src/relay/metrics.rs
+++ b/crates/agatepin/src/relay/metrics.rs
@@ -5,6 +5,7 @@
 use prometheus::{HistogramVec, IntCounterVec, IntGaugeVec, Registry, Result};
 
 use crate::metrics;
+use crate::relay::admit::PlaceSnapshot;
 
 /// Counters of requests and attempts, and the time to the head of the answer, in a Prometheus registry
 /// of their own.
@@ -27,6 +28,10 @@
     admissions: IntCounterVec,
     /// Share of the requests that is refused at once, in thousandths, by service.
     levels: IntGaugeVec,
+    /// Requests that got no place, by service and cause.
+    full: IntCounterVec,
+    /// Upstreams that take requests, by service and by whether a recent report tells their load.
+    upstreams: IntGaugeVec,
 }
 
 impl RelayMetrics {
@@ -44,6 +49,8 @@
         let limited = "agatepin_relay_limited_total";
         let admissions = "agatepin_relay_admissions_total";
         let levels = "agatepin_relay_admission_level";
+        let full = "agatepin_relay_full_total";
+        let upstreams = "agatepin_relay_upstreams";
         Ok(Self {
             requests: metrics::counter(&registry, requests, "Requests by outcome", &["outcome"])?,
             head_seconds: metrics::histogram(
@@ -88,6 +95,18 @@
                 "Thousandths of the requests that are refused at once",
                 &["service"],
             )?,
+            full: metrics::counter(
+                &registry,
+                full,
+                "Requests without a place by service and cause",
+                &["service", "cause"],
+            )?,
+            upstreams: metrics::gauge(
+                &registry,
+                upstreams,
+                "Usable upstreams by service and recent report",
+                &["service", "reported"],
+            )?,
             registry,
         })
     }
@@ -142,6 +161,23 @@
         self.levels.with_label_values(&[service]).set(thousandths);
     }
 
+    /// Counts a request for `service` that got no place for `cause`.
+    pub fn record_full(&self, service: &str, cause: &str) {
+        self.full.with_label_values(&[service, cause]).inc();
+    }
+
+    /// Records the upstreams of `service` that take requests, by whether a recent report tells their load.
+    pub fn record_places(&self, service: &str, places: &PlaceSnapshot) {
+        let counts = [
+            ("true", places.reported),
+            ("false", places.usable.saturating_sub(places.reported)),
+        ];
+        for (reported, count) in counts {
+            let gauge = self.upstreams.with_label_values(&[service, reported]);
+            gauge.set(count.into());
+        }
+    }
+
     /// Encodes all metrics in the text format of Prometheus.
     ///
     /// # Errors
--- a/crates/agatepin/src/relay/refusal.rs
+++ b/crates/agatepin/src/relay/refusal.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use agatepin_core::relay::chooser::FullCause;
 use bytes::Bytes;
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
@@ -29,8 +30,8 @@
         Slow,
         /// The memory for bodies is used up.
         NoMemory,
-        /// All upstreams that could serve the request are at capacity.
-        Full,
+        /// Upstreams could serve the request, but it gets no place for this cause.
+        Full(FullCause),
         /// No upstream can serve the request now.
         NoUpstream,
         /// All upstreams that could serve the request hold off requests, the first for this time.
@@ -87,7 +88,7 @@
             Self::TooLarge => "too_large",
             Self::Slow => "slow_request",
             Self::NoMemory => "no_memory",
-            Self::Full => "full",
+            Self::Full(_) => "full",
             Self::NoUpstream => "no_upstream",
             Self::HeldOff(_) => "held_off",
             Self::RateLimited(_) => "rate_limited",
@@ -102,6 +103,15 @@
         }
     }
 
+    /// Why the request got no place at an upstream, if it is refused for that.
+    #[must_use]
+    pub fn full_cause(self) -> Option<FullCause> {
+        match self {
+            Self::Full(cause) => Some(cause),
+            _ => None,
+        }
+    }
+
     /// Status of the answer. 408 and 503 guarantee that the request has not run and never will.
     #[must_use]
     pub fn status(self) -> StatusCode {
@@ -116,7 +126,7 @@
             Self::TimeUp => StatusCode::GATEWAY_TIMEOUT,
             Self::NoConfig
             | Self::NoMemory
-            | Self::Full
+            | Self::Full(_)
             | Self::NoUpstream
             | Self::HeldOff(_)
             | Self::RateLimited(_)
@@ -134,7 +144,7 @@
     pub fn return_time(self) -> ReturnTime {
         match self {
             Self::NoConfig | Self::Leaving => ReturnTime::AtOnce,
-            Self::Full | Self::NotRun => ReturnTime::WithPlace(Duration::ZERO),
+            Self::Full(_) | Self::NotRun => ReturnTime::WithPlace(Duration::ZERO),
             // Other requests wait for the same upstreams.
             Self::RateLimited(wait) => ReturnTime::WithPlace(wait),
             Self::HeldOff(left) => ReturnTime::After(left),
--- a/crates/agatepin/src/relay/server.rs
+++ b/crates/agatepin/src/relay/server.rs
@@ -26,7 +26,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use crate::relay::admit::EntryIdentity;
+use crate::relay::admit::{self, EntryIdentity};
 use crate::relay::body::ReplyBody;
 use crate::relay::caller_body::{CallerBody, UnreadInput};
 use crate::relay::connection_limit::{ConnectionEntry, ConnectionLimit};
@@ -300,9 +300,12 @@
     fn serve_operator_path(&self, path: &str) -> Response<ReplyBody> {
         let body = match path {
             "/metrics" => {
+                let now = Instant::now();
                 self.fleet.with(|fleet| {
                     for (service, level) in &fleet.levels {
                         self.metrics.record_level(service, level.level());
+                        let places = admit::place_snapshot(fleet, service, now);
+                        self.metrics.record_places(service, &places);
                     }
                 });
                 self.metrics.encode().map_err(|err| err.to_string())
--- a/crates/core/src/relay/admission_level.rs
+++ b/crates/core/src/relay/admission_level.rs
@@ -268,6 +268,14 @@
         }
     }
 
+    /// The level in thousandths.
+    #[must_use]
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    pub fn thousandths(&self) -> u32 {
+        // The level is between 0 and 1.
+        (self.level() * 1_000.0).round() as u32
+    }
+
     /// Whether requests are refused at once.
     #[must_use]
     pub fn is_raised(&self) -> bool {
--- a/crates/core/src/relay/chooser.rs
+++ b/crates/core/src/relay/chooser.rs
@@ -26,6 +26,71 @@
 /// in addition to one running request for each slot.
 const PLAIN_QUEUE_LIMIT: u32 = 2;
 
+key_type! {
+    /// Why a request gets no place although some upstreams are eligible.
+    pub enum FullCause {
+        /// The service is overloaded, and a share of its requests is refused at once.
+        Level,
+        /// Requests that are ahead of it wait at this entry.
+        Line,
+        /// Requests that wait at other entries take all free places.
+        PeerLines,
+        /// Most upstreams have as many requests as this entry allows there.
+        Capacity,
+        /// Most upstreams are cold, and this entry has used its share of their rates.
+        ColdRate,
+        /// Most upstreams lack memory for the request.
+        Memory,
+        /// Some upstreams have capacity, but the caller would leave before their first event.
+        Late,
+    }
+}
+
+impl FullCause {
+    /// Code of the cause in logs and metrics.
+    #[must_use]
+    pub fn code(self) -> &'static str {
+        match self {
+            Self::Level => "level",
+            Self::Line => "line",
+            Self::PeerLines => "peer_lines",
+            Self::Capacity => "capacity",
+            Self::ColdRate => "cold_rate",
+            Self::Memory => "memory",
+            Self::Late => "late",
+        }
+    }
+}
+
+/// Eligible upstreams that take no request now, by cause.
+#[derive(Default)]
+struct FullCounts {
+    capacity: u32,
+    cold_rate: u32,
+    memory: u32,
+}
+
+impl FullCounts {
+    fn count(&mut self, cause: FullCause) {
+        match cause {
+            FullCause::ColdRate => self.cold_rate += 1,
+            FullCause::Memory => self.memory += 1,
+            _ => self.capacity += 1,
+        }
+    }
+
+    /// The most frequent cause; none if there is no such upstream.
+    fn most_frequent(&self) -> Option<FullCause> {
+        let counts = [
+            (self.memory, FullCause::Memory),
+            (self.cold_rate, FullCause::ColdRate),
+            (self.capacity, FullCause::Capacity),
+        ];
+        let (count, cause) = counts.into_iter().max_by_key(|(count, _)| *count)?;
+        (count > 0).then_some(cause)
+    }
+}
+
 value_type! {
     /// Requirements of a request for its upstream.
     pub struct UpstreamCriteria<'call> {
@@ -76,8 +141,8 @@
     pub enum UpstreamChoice {
         /// The request should be sent to this upstream.
         Send(UpstreamId),
-        /// Some upstreams are eligible, but none has capacity now.
-        Full,
+        /// Some upstreams are eligible, but none has capacity now, for this cause.
+        Full(FullCause),
         /// Some upstreams have capacity, but the caller would leave before their first event.
         Late,
         /// All upstreams that are eligible otherwise hold off requests; the first for this time.
@@ -104,7 +169,8 @@
     Random: FnMut() -> f64,
 {
     let mut best: Option<(Duration, &UpstreamId)> = None;
-    let (mut any_full, mut any_late) = (false, false);
+    let mut full = FullCounts::default();
+    let mut any_late = false;
     let mut first_hold_end: Option<Duration> = None;
     let mut first_token: Option<Duration> = None;
     for (id, state) in upstreams.iter() {
@@ -131,11 +197,8 @@
             let delay = PLAIN_REQUEST_DELAY.saturating_mul(state.load(now));
             (stated_speed.scale(delay), false)
         };
-        let at_capacity = state.load(now) >= capacity(state, criteria, location, now);
-        let cold_rate = criteria.cold_requests_per_second;
-        let cold_allows = rates.cold_allows(id, state, cold_rate, location.entries, now);
-        if !cold_allows || at_capacity || !has_memory(state, criteria, now) {
-            any_full = true;
+        if let Some(cause) = full_cause(id, state, rates, location, criteria, now) {
+            full.count(cause);
             continue;
         }
         if is_late && state.load(now) > 0 {
@@ -155,17 +218,36 @@
     match best {
         Some((_, id)) => UpstreamChoice::Send(id.clone()),
         None if any_late => UpstreamChoice::Late,
-        None if any_full => UpstreamChoice::Full,
-        None => match (first_token, first_hold_end) {
-            (Some(token), hold) if hold.is_none_or(|hold| token <= hold) => {
+        None => match (full.most_frequent(), first_token, first_hold_end) {
+            (Some(cause), _, _) => UpstreamChoice::Full(cause),
+            (None, Some(token), hold) if hold.is_none_or(|hold| token <= hold) => {
                 UpstreamChoice::RateLimited(token)
             }
-            (_, Some(hold)) => UpstreamChoice::HeldOff(hold),
-            (_, None) => UpstreamChoice::None,
+            (None, _, Some(hold)) => UpstreamChoice::HeldOff(hold),
+            (None, _, None) => UpstreamChoice::None,
         },
     }
 }
 
+/// Why an eligible upstream takes no request from this entry now; none if it does.
+fn full_cause(
+    id: &UpstreamId,
+    state: &UpstreamState,
+    rates: &UpstreamRates,
+    location: &EntryLocation<'_>,
+    criteria: &UpstreamCriteria<'_>,
+    now: Instant,
+) -> Option<FullCause> {
+    if state.load(now) >= capacity(state, criteria, location, now) {
+        return Some(FullCause::Capacity);
+    }
+    let cold_rate = criteria.cold_requests_per_second;
+    if !rates.cold_allows(id, state, cold_rate, location.entries, now) {
+        return Some(FullCause::ColdRate);
+    }
+    (!has_memory(state, criteria, now)).then_some(FullCause::Memory)
+}
+
 /// Expected time until an engine sends the first event of a request with `tokens` prompt tokens:
 /// the rest of the current pass, the wait for a slot, and the passes that prefill the prompts
 /// before it and its own, all at the engine's present speed. `answer_time` is the mean time for which an
--- a/crates/core/tests/relay/chooser.rs
+++ b/crates/core/tests/relay/chooser.rs
@@ -5,7 +5,7 @@
 
 use agatepin_core::relay::catalog::{EngineSpec, RouteCatalog};
 use agatepin_core::relay::chooser::{
-    EntryLocation, UpstreamChoice, UpstreamCriteria, choose_upstream, first_event_delay,
+    EntryLocation, FullCause, UpstreamChoice, UpstreamCriteria, choose_upstream, first_event_delay,
 };
 use agatepin_core::relay::request_size::StatedOutput;
 use agatepin_core::relay::stated_limit::RequestRate;
@@ -123,8 +123,8 @@
 /// entries' lines have an order.
 #[rstest]
 #[case::usual(None, send("u1"))]
-#[case::congested(Some(1), UpstreamChoice::Full)]
-#[case::more_than_usual(Some(9), UpstreamChoice::Full)]
+#[case::congested(Some(1), UpstreamChoice::Full(FullCause::Capacity))]
+#[case::more_than_usual(Some(9), UpstreamChoice::Full(FullCause::Capacity))]
 fn the_queue_of_an_engine_can_be_limited_further(
     #[case] engine_queue: Option<u32>,
     #[case] expected: UpstreamChoice,
@@ -220,7 +220,10 @@
     for _ in 0..20 {
         upstreams.count_request("u1", 0);
     }
-    assert_eq!(chosen(&upstreams, &long, now), UpstreamChoice::Full);
+    assert_eq!(
+        chosen(&upstreams, &long, now),
+        UpstreamChoice::Full(FullCause::Capacity)
+    );
 }
 
 #[test]
@@ -291,7 +294,10 @@
     let state = upstreams.get(&id).unwrap();
     assert_eq!(choose_at(&rates, now), send("u1"));
     rates.take(&id, state, 10, 1, now);
-    assert_eq!(choose_at(&rates, now), UpstreamChoice::Full);
+    assert_eq!(
+        choose_at(&rates, now),
+        UpstreamChoice::Full(FullCause::ColdRate)
+    );
     assert_eq!(
         choose_at(&rates, now + Duration::from_millis(101)),
         send("u1")
@@ -362,10 +368,10 @@
     upstreams.count_request("odd", u32::MAX);
     assert_eq!(
         chosen(&upstreams, &criteria(Some(&spec)), now),
-        UpstreamChoice::Full
+        UpstreamChoice::Full(FullCause::Capacity)
     );
     assert_eq!(
         chosen(&upstreams, &criteria(None), now),
-        UpstreamChoice::Full
+        UpstreamChoice::Full(FullCause::Capacity)
     );
 }
--- a/crates/core/tests/relay/engine_memory.rs
+++ b/crates/core/tests/relay/engine_memory.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use agatepin_core::relay::chooser::UpstreamChoice;
+use agatepin_core::relay::chooser::{FullCause, UpstreamChoice};
 use agatepin_core::relay::request_size::StatedOutput;
 use agatepin_core::relay::upstreams::{
     EngineMemory, EngineReport, REPORT_TTL, UpstreamDirectory, UpstreamState,
@@ -62,7 +62,7 @@
     let expected = if is_sent {
         UpstreamChoice::Send(ID.to_owned())
     } else {
-        UpstreamChoice::Full
+        UpstreamChoice::Full(FullCause::Memory)
     };
     let upstreams = upstream(used, max, now);
     assert_eq!(chosen_with(&upstreams, Some(&spec), output, now), expected);
