A small service that many entries share no longer refuses beside free places

Callers saw: orders of filing-desk refused as full at an entry that had just placed one, with most of the places of its workers free. Cause: without a report an entry allowed an equal part of an upstream's capacity among all entries, at least one, and compared that part with the requests of all entries of its region. Of 44 entries, one request in flight anywhere in a region filled the upstream for the whole region. Plain upstreams never have reports; engines lack them after a restart. Change: the entries of a region use the region's part together, which is what the known load counts.

--- a/crates/agatepin/src/relay/admit.rs
+++ b/crates/agatepin/src/relay/admit.rs
@@ -534,6 +534,10 @@
     };
     // Number of entries that share the request rates of upstreams, including this one.
     let entries = fleet.entries.alive(&identity.name, now).count() + 1;
+    let same_region = fleet
+        .entries
+        .alive_in_region(&identity.name, &identity.region, now);
+    let region_entries = same_region.count() + 1;
     let upstream_criteria = UpstreamCriteria {
         service: &criteria.service,
         allowed_regions: [&criteria.route.home_regions, &criteria.allowed_regions],
@@ -552,6 +556,7 @@
         data_centre: &identity.data_centre,
         region: &identity.region,
         entries,
+        region_entries,
         catalog: Some(&catalog),
     };
     let choice = chooser::choose_upstream(
--- a/crates/core/src/relay/chooser.rs
+++ b/crates/core/src/relay/chooser.rs
@@ -133,6 +133,8 @@
         pub region: &'entry str,
         /// Number of live entries, including this one.
         pub entries: usize,
+        /// Number of those in `region`, including this one. They tell each other their requests in flight.
+        pub region_entries: usize,
         /// Catalog with the network delays between data centres; without it, all are unknown.
         pub catalog: Option<&'entry RouteCatalog>,
     }
@@ -450,9 +452,9 @@
 }
 
 /// Number of requests at the upstream below which this entry sends another one. With a recent
-/// report the known number includes the requests of all entries. Without a report it includes only
-/// some of them, so each entry uses its equal part of the capacity, or twice that part at a plain
-/// upstream.
+/// report the known number includes the requests of all entries. Without a report it includes those
+/// of the region's entries, which use their part of the capacity together, or twice that part at a
+/// plain upstream.
 fn capacity(
     state: &UpstreamState,
     criteria: &UpstreamCriteria<'_>,
@@ -472,10 +474,11 @@
     if state.report(now).is_some() {
         return limit;
     }
-    let entries = u32::try_from(location.entries.max(1)).unwrap_or(u32::MAX);
+    let count = |entries: usize| u32::try_from(entries.max(1)).unwrap_or(u32::MAX);
     limit
         .saturating_mul(if engine { 1 } else { 2 })
-        .div_ceil(entries)
+        .saturating_mul(count(location.region_entries))
+        .div_ceil(count(location.entries))
         .max(1)
 }
 
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -27,6 +27,7 @@
     pub mod schedule;
     pub mod setups;
     pub mod shutdown;
+    pub mod small_service;
     pub mod sources;
     pub mod speed;
     pub mod stated_limit;
--- a/crates/core/tests/relay/chooser.rs
+++ b/crates/core/tests/relay/chooser.rs
@@ -22,6 +22,7 @@
     data_centre: "thies",
     region: "thies",
     entries: 1,
+    region_entries: 1,
     catalog: None,
 };
 
--- a/crates/core/tests/relay/request_size.rs
+++ b/crates/core/tests/relay/request_size.rs
@@ -133,6 +133,7 @@
         data_centre: "thies-mekhe",
         region: "thies",
         entries: 1,
+        region_entries: 1,
         catalog: None,
     };
     let rates = UpstreamRates::new(1);
--- a/crates/core/tests/relay/speed.rs
+++ b/crates/core/tests/relay/speed.rs
@@ -55,6 +55,7 @@
         data_centre: "thies",
         region: "thies",
         entries: 1,
+        region_entries: 1,
         catalog: None,
     };
     let criteria = UpstreamCriteria {
