Daemons that start together no longer crowd the store's link with the configuration

Cause: every entry and every agent that starts read the whole configuration from the store at once, some hundred kilobytes each over one link a region. Change: an entry without a copy of a table takes it from an entry of its region, and reads the store once it is its turn: the region's readers at once, the others 0.4 s after each other. While the store does not answer, rows are taken from other regions in the same turns. Agents read their peers first and take the configuration from an entry of their region; they read the store after 1.5 to 4.5 s without one, or if they know no entry.

--- a/crates/agatepin/src/loader/daemon.rs
+++ b/crates/agatepin/src/loader/daemon.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use agatepin_core::ids::RegionId;
 use agatepin_core::relay::schedule::VersionDeadlines;
 use agatepin_core::relay::sources::PieceAgent;
 use eyre::{Result, WrapErr};
@@ -30,6 +31,12 @@
 /// least time between two such reads.
 const ROSTER_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Least time for which an agent that knows entries of its region waits for one of them to have the
+/// catalog, before it reads the store. The entries have it soon after they have started.
+const CATALOG_WAIT: Duration = Duration::from_millis(1_500);
+/// Longest random time in addition, so that many agents do not read the store at once.
+const CATALOG_WAIT_SPREAD: Duration = Duration::from_secs(3);
+
 const ALL_TABLES: [MirrorTable; 3] = [
     MirrorTable::Operator,
     MirrorTable::Upstreams,
@@ -106,6 +113,7 @@
         view.clone(),
         store,
         dialect,
+        options.region.clone(),
         overlay.port(),
         first_start,
     ));
@@ -173,13 +181,19 @@
     }
 }
 
-/// Reads the catalog and then the peers of this agent (entries and other agents) from the store,
-/// each until it succeeds. After that, reads all tables again whenever no roster was received for
+/// Time of the next read of the catalog from the store, if no entry gives it until then.
+fn next_catalog_read() -> Instant {
+    Instant::now() + CATALOG_WAIT + CATALOG_WAIT_SPREAD.mul_f64(rand::random())
+}
+
+/// Reads the peers of this agent (entries and other agents) from the store, and gets the catalog, each
+/// until it succeeds. After that, reads all tables again whenever no roster was received for
 /// [`ROSTER_TIMEOUT`]. Agents are expected at `overlay_port` of the machines of listed engines.
 async fn watch_store<Store, Dialect>(
     view: SharedView,
     store: Store,
     dialect: Dialect,
+    region: RegionId,
     overlay_port: u16,
     first_start: bool,
 ) where
@@ -193,14 +207,27 @@
     } else {
         &[MirrorTable::Entries, MirrorTable::Upstreams]
     };
-    for tables in [&[MirrorTable::Operator], peers] {
-        loop {
-            let result = view::read_store(&view, &store, &dialect, overlay_port, tables).await;
-            match result {
-                Ok(()) if view.borrow().has_catalog() => break,
-                Ok(()) => {}
-                Err(err) => log::warn!(err:?; "cannot read the store"),
+    while let Err(err) = view::read_store(&view, &store, &dialect, overlay_port, peers).await {
+        log::warn!(err:?; "cannot read the store");
+        sleep(FAILURE_PAUSE).await;
+    }
+    let mut store_at = Instant::now();
+    if view.borrow_mut().knows_entries(&region, store_at) {
+        store_at = next_catalog_read();
+    }
+    while !view.borrow().has_catalog() {
+        if Instant::now() < store_at {
+            if !view::pull_operator_rows(&view, &dialect, &region, overlay_port).await {
+                sleep(FAILURE_PAUSE).await;
             }
+            continue;
+        }
+        store_at = next_catalog_read();
+        let tables = [MirrorTable::Operator];
+        if let Err(err) = view::read_store(&view, &store, &dialect, overlay_port, &tables).await {
+            log::warn!(err:?; "cannot read the store");
+        }
+        if !view.borrow().has_catalog() {
             sleep(FAILURE_PAUSE).await;
         }
     }
--- a/crates/agatepin/src/loader/view.rs
+++ b/crates/agatepin/src/loader/view.rs
@@ -11,13 +11,18 @@
 use agatepin_core::ids::{ModelId, RegionId, ServiceId};
 use agatepin_core::relay::catalog::{CatalogSpec, EngineSpec, RouteCatalog, WeightsVersion};
 use agatepin_core::relay::load_order::BootTime;
+use agatepin_core::relay::row_version::RowVersion;
 use agatepin_core::relay::schedule::{VersionDeadlines, WeightsSchedule};
 use agatepin_core::relay::sources::PieceAgent;
+use rand::seq::IndexedRandom;
 
 use crate::loader::boot_clock::boot_time;
 use crate::relay::datagram::FleetRoster;
 use crate::relay::entry_rows::EntryRow;
-use crate::relay::ports::{FleetUpdate, MirrorTable, StoreError, TableStore, WireDialect};
+use crate::relay::overlay;
+use crate::relay::ports::{
+    FleetUpdate, MirrorTable, StoreError, TableRow, TableStore, WireDialect,
+};
 
 /// Time after which an entry or agent is removed that neither a roster nor a read of the store has
 /// listed again.
@@ -189,6 +194,18 @@
         all.map(|(entry, (region, _))| (*entry, region))
     }
 
+    /// Whether an entry of `region` is known.
+    pub fn knows_entries(&mut self, region: &str, now: Instant) -> bool {
+        !self.entries_in_region(region, now).is_empty()
+    }
+
+    /// Entries of `region` that load reports are sent to.
+    fn entries_in_region(&mut self, region: &str, now: Instant) -> Vec<SocketAddr> {
+        let entries = self.entries(now);
+        let same_region = entries.filter(|(_, entry_region)| *entry_region == region);
+        same_region.map(|(entry, _)| entry).collect()
+    }
+
     /// Agents that may have pieces. Removes agents that were not listed for [`PEER_TTL`].
     pub fn agents(&mut self, now: Instant) -> Vec<PieceAgent> {
         let fresh = |at: &Instant| now.saturating_duration_since(*at) < PEER_TTL;
@@ -281,6 +298,29 @@
     }
 }
 
+/// Takes the operators' rows (catalog and announced weights) from an entry of `region`, chosen at random,
+/// into the view. Returns false if no entry of the region is known, or that one has no rows.
+pub async fn pull_operator_rows<Dialect>(
+    view: &SharedView,
+    dialect: &Dialect,
+    region: &str,
+    overlay_port: u16,
+) -> bool
+where
+    Dialect: WireDialect,
+{
+    let table = MirrorTable::Operator;
+    let entries = view.borrow_mut().entries_in_region(region, Instant::now());
+    let Some(peer) = entries.choose(&mut rand::rng()) else {
+        return false;
+    };
+    let Some(copy) = overlay::pull_rows(*peer, table, RowVersion::default()).await else {
+        return false;
+    };
+    apply_rows(view, dialect, table, copy.read.rows, overlay_port);
+    true
+}
+
 /// Reads tables of the store into the view; rows that cannot be used are skipped. Agents are
 /// expected at `overlay_port` of the machines of listed engines.
 ///
@@ -299,23 +339,36 @@
 {
     for table in tables.iter().copied() {
         let read = store.list(table).await?;
-        let now = Instant::now();
-        for row in read.rows {
-            if table == MirrorTable::Entries {
-                let listing = row.value.as_ref().map(|value| EntryRow::parse(value));
-                if let Some(Ok(listing)) = listing {
-                    let entry = (listing.region, now);
-                    view.borrow_mut().entries.insert(listing.overlay, entry);
-                }
-                continue;
-            }
-            match dialect.read_row(table, &row) {
-                Ok(update) => apply_update(&mut view.borrow_mut(), update, overlay_port, now),
-                Err(err) => log::warn!(table:?, key = row.key, reason = err.0; "row skipped"),
+        apply_rows(view, dialect, table, read.rows, overlay_port);
+    }
+    Ok(())
+}
+
+/// Applies rows of a table to the view; those that cannot be used are skipped.
+fn apply_rows<Dialect>(
+    view: &SharedView,
+    dialect: &Dialect,
+    table: MirrorTable,
+    rows: Vec<TableRow>,
+    overlay_port: u16,
+) where
+    Dialect: WireDialect,
+{
+    let now = Instant::now();
+    for row in rows {
+        if table == MirrorTable::Entries {
+            let listing = row.value.as_ref().map(|value| EntryRow::parse(value));
+            if let Some(Ok(listing)) = listing {
+                let entry = (listing.region, now);
+                view.borrow_mut().entries.insert(listing.overlay, entry);
             }
+            continue;
+        }
+        match dialect.read_row(table, &row) {
+            Ok(update) => apply_update(&mut view.borrow_mut(), update, overlay_port, now),
+            Err(err) => log::warn!(table:?, key = row.key, reason = err.0; "row skipped"),
         }
     }
-    Ok(())
 }
 
 fn apply_update(view: &mut FleetView, update: FleetUpdate, overlay_port: u16, now: Instant) {
--- a/crates/agatepin/src/relay/mirror.rs
+++ b/crates/agatepin/src/relay/mirror.rs
@@ -1,6 +1,6 @@
 //! Keeps an entry's copy of the tables of the platform's store up to date. A few entries of each
-//! region read the store by long polls; the other entries take changed rows from those. Every entry
-//! reads the table of entries itself. While the store does not answer, an entry takes rows from any
+//! region read the store by long polls; the other entries take changed rows from those, and all rows when
+//! they start. Every entry reads the table of entries itself. While the store does not answer, an entry takes rows from any
 //! other entry that has newer ones.
 
 mod own_rows;
@@ -40,6 +40,8 @@
 const UPSTREAM_CHANGE_PAUSE: Duration = Duration::from_millis(500);
 /// Longest time between two checks of other entries' copies for newer rows.
 const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(300);
+/// Time between two checks whether the table of entries has been read, before the first read of another.
+const ENTRIES_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// Time after the store's last answer for which this entry reports a copy as read from the store:
 /// 2 s for the longest wait of a long poll (`MAX_POLL_WAIT`) and 1 s for its HTTP request and answer.
 /// The table of entries, whose polls
@@ -185,6 +187,9 @@
             let copy = copies.entry(table).or_default();
             (copy.fully_read, copy.version)
         };
+        if version == RowVersion::default() && table != MirrorTable::Entries {
+            return self.take_first_rows(table).await;
+        }
         let wait = match table {
             _ if store_lost => Duration::ZERO,
             MirrorTable::Entries => ENTRIES_MAX_POLL_WAIT,
@@ -200,6 +205,49 @@
         self.take_newer_rows(table, version).await
     }
 
+    /// Takes the rows of a table of which this entry has no copy: from an entry of the same region that has
+    /// them, or from the store once it is this entry's turn. Where all entries start at once and each reads
+    /// the store, the link between two regions carries a copy of the table for each of them.
+    async fn take_first_rows(&self, table: MirrorTable) -> Result<StepOutcome, StoreError> {
+        if !self.has_tried_entries() {
+            // Without that table, no other entry is known.
+            sleep(ENTRIES_CHECK_INTERVAL).await;
+            return Ok(StepOutcome::Waited);
+        }
+        let now = Instant::now();
+        let since = *self.behind_since.borrow_mut().entry(table).or_insert(now);
+        let waited = now.duration_since(since);
+        let version = RowVersion::default();
+        let (source, peer_rows_changed) = self.fleet.with(|fleet| {
+            let copies = &fleet.table_copies;
+            let source = copies.newer_rows(table, version, &self.own_name, waited, now);
+            (source, fleet.peer_rows_changed.clone())
+        });
+        if let Some(NewerRows::SameRegion(peer)) = source
+            && self.pull_from(table, peer, version).await
+        {
+            self.behind_since.borrow_mut().remove(&table);
+            return Ok(StepOutcome::Waited);
+        }
+        let left = self.first_read_wait(now).saturating_sub(waited);
+        if !left.is_zero() {
+            let pause = left.min(PEER_CHECK_INTERVAL);
+            let _ = timeout(pause, peer_rows_changed.notified()).await;
+            return Ok(StepOutcome::Waited);
+        }
+        // After a failed read, other entries have their turn first.
+        self.behind_since.borrow_mut().remove(&table);
+        let changes = self.read_store(table, Duration::ZERO).await?;
+        self.fleet.with(|fleet| fleet.rows_read.notify_one());
+        Ok(StepOutcome::Read { changes })
+    }
+
+    /// Whether the table of entries has been read, or a read of it has failed.
+    fn has_tried_entries(&self) -> bool {
+        let is_lost = self.lost_since.borrow().contains_key(&MirrorTable::Entries);
+        is_lost || self.with_copy(MirrorTable::Entries, |copy| copy.fully_read)
+    }
+
     /// Takes the rows that are newer than `version` from an entry of the same region that has them.
     /// Reads the store if only entries of other regions do, or none of the same region has answered,
     /// once it is this entry's turn. Waits for other entries to have newer rows if none has any.
@@ -263,14 +311,40 @@
 
     /// Time that this entry waits before it reads rows from the store that other entries have.
     fn other_region_wait(&self, now: Instant) -> Duration {
+        let (before, regions) = self.rank_in_region(now);
+        readers::other_region_wait(before, regions)
+    }
+
+    /// Time that this entry waits before it reads a table of which it has no copy from the store.
+    fn first_read_wait(&self, now: Instant) -> Duration {
+        let (before, regions) = self.rank_in_region(now);
+        readers::first_read_wait(before, regions)
+    }
+
+    /// Number of live entries of the region that come before this one by name, and number of regions with
+    /// live entries.
+    fn rank_in_region(&self, now: Instant) -> (usize, usize) {
         self.fleet.with(|fleet| {
             let entries = &fleet.entries;
             let alive = entries.alive_in_region(&self.own_name, &self.region, now);
             let before = alive.filter(|name| **name < self.own_name).count();
-            readers::other_region_wait(before, entries.regions_alive(&self.region, now))
+            (before, entries.regions_alive(&self.region, now))
         })
     }
 
+    /// Whether it is this entry's turn to take rows of `table` over a link between regions while the store
+    /// does not answer.
+    fn may_pull_from_other_region(&self, table: MirrorTable, now: Instant) -> bool {
+        let lost_since = self.lost_since.borrow().get(&table).copied();
+        let lost_for = lost_since.map_or(Duration::ZERO, |since| now.duration_since(since));
+        let wait = if self.with_copy(table, |copy| copy.fully_read) {
+            self.other_region_wait(now)
+        } else {
+            self.first_read_wait(now)
+        };
+        lost_for >= wait
+    }
+
     /// Makes the next read of the store return all rows.
     fn require_full_read(&self, table: MirrorTable) {
         self.copies
@@ -518,8 +592,8 @@
         });
     }
 
-    /// Asks two other entries, chosen at random, for newer rows of a table, and takes those of the
-    /// first one that has any. One of the same region is asked first, if there is one.
+    /// Asks up to two other entries, chosen at random, for newer rows of a table, and takes those of the
+    /// first one that has any: one of the same region, and then any one if it is this entry's turn.
     async fn pull_from_entries(&self, table: MirrorTable) {
         let now = Instant::now();
         let own = self.own_name.clone();
@@ -534,6 +608,8 @@
             peers.iter().filter(|(near, _)| *near).collect(),
             peers.iter().collect(),
         );
+        let may_pull = self.may_pull_from_other_region(table, now);
+        let all = if may_pull { all } else { Vec::new() };
         for candidates in [near, all] {
             if candidates.is_empty() {
                 continue;
--- a/crates/core/src/relay/readers.rs
+++ b/crates/core/src/relay/readers.rs
@@ -24,6 +24,9 @@
 /// Longest such wait: changes must be in force within the platform's bound also if all entries before
 /// this one fail to read them.
 const MAX_OTHER_REGION_WAIT: Duration = Duration::from_millis(1_200);
+/// Longest time that an entry which has just started waits for others of its region to read a table. By
+/// then those that did not start again no longer count as alive.
+const MAX_FIRST_READ_WAIT: Duration = Duration::from_secs(3);
 /// Time after which an entry takes rows from another entry of its region than before.
 const SOURCE_TURN: Duration = Duration::from_millis(500);
 
@@ -200,11 +203,22 @@
 /// the link between the regions would carry a copy of the rows for each.
 #[must_use]
 pub fn other_region_wait(before: usize, regions: usize) -> Duration {
+    turn_wait(before, regions).min(MAX_OTHER_REGION_WAIT)
+}
+
+/// Time that an entry waits before it reads a table of which it has no copy from the store. The
+/// parameters are those of [`other_region_wait`]. The rows of a whole table are many, and all entries may
+/// have started at once, so that their turns are further apart than after a change.
+#[must_use]
+pub fn first_read_wait(before: usize, regions: usize) -> Duration {
+    turn_wait(before, regions).min(MAX_FIRST_READ_WAIT)
+}
+
+/// Time until it is the turn of an entry that has `before` entries of its region before it.
+fn turn_wait(before: usize, regions: usize) -> Duration {
     let behind = (before + 1).saturating_sub(readers_per_region(regions));
     let behind = u32::try_from(behind).unwrap_or(u32::MAX);
-    OTHER_REGION_WAIT
-        .saturating_mul(behind)
-        .min(MAX_OTHER_REGION_WAIT)
+    OTHER_REGION_WAIT.saturating_mul(behind)
 }
 
 /// Number of entries of each region that poll the store, in a fleet of `regions` regions.
--- a/crates/core/tests/relay/readers.rs
+++ b/crates/core/tests/relay/readers.rs
@@ -4,8 +4,10 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use agatepin_core::relay::liveness::FIRST_HEARTBEAT_TIMEOUT;
 use agatepin_core::relay::readers::{
-    CopyStatus, NewerRows, READER_TIMEOUT, ReaderDirectory, other_region_wait, readers_per_region,
+    CopyStatus, NewerRows, READER_TIMEOUT, ReaderDirectory, first_read_wait, other_region_wait,
+    readers_per_region,
 };
 use agatepin_core::relay::row_version::RowVersion;
 
@@ -151,6 +153,20 @@
     assert!(waits.iter().all(|wait| *wait <= bound.unwrap().as_millis()));
 }
 
+/// Guards against entries that have no configuration for seconds after all were started at once: each read
+/// all of it over the link between two regions, so that most reads were given up and begun again.
+#[test]
+fn a_table_is_not_read_by_all_entries_of_a_region_at_once_when_they_start() {
+    let waits: Vec<Duration> = (0..17)
+        .map(|before| first_read_wait(before, REGIONS))
+        .collect();
+    let at_once = waits.iter().filter(|wait| wait.is_zero()).count();
+    assert_eq!(at_once, readers_per_region(REGIONS));
+    assert!(waits.is_sorted());
+    // Listed entries that did not start again count as alive until then.
+    assert!(waits.iter().all(|wait| *wait <= FIRST_HEARTBEAT_TIMEOUT));
+}
+
 /// The entries of a region take a change from different entries that have it, and try another one
 /// if the first is slow.
 #[test]
