Agents without rosters read only changes of the configuration

Cause: an agent that gets no roster for 3 s reads all tables of the store, and does so again every 3 s, the whole configuration included. Where no entry of a region is alive, its agents load the link to the store with a copy each: the same class as the crowd at the start. Change: an agent remembers up to which version it has the operators' rows and reads the changes since; all rows again only if the store has dropped them.

--- a/crates/agatepin/src/loader/view.rs
+++ b/crates/agatepin/src/loader/view.rs
@@ -21,7 +21,7 @@
 use crate::relay::entry_rows::EntryRow;
 use crate::relay::overlay;
 use crate::relay::ports::{
-    FleetUpdate, MirrorTable, StoreError, TableRow, TableStore, WireDialect,
+    FleetUpdate, MirrorTable, StoreError, TableRead, TableStore, WireDialect,
 };
 
 /// Time after which an entry or agent is removed that neither a roster nor a read of the store has
@@ -61,6 +61,8 @@
     entries: BTreeMap<SocketAddr, (RegionId, Instant)>,
     /// Agents and when each was last listed, by overlay address.
     agents: BTreeMap<SocketAddr, (PieceAgent, Instant)>,
+    /// Version up to which the operators' rows in the view are complete; none before the first read.
+    operator_version: Option<RowVersion>,
     /// When the last roster was received; none before the first.
     roster_at: Option<Instant>,
     /// Time of the last roster after which a version was the newest announced one, by model and
@@ -317,11 +319,12 @@
     let Some(copy) = overlay::pull_rows(*peer, table, RowVersion::default()).await else {
         return false;
     };
-    apply_rows(view, dialect, table, copy.read.rows, overlay_port);
+    apply_rows(view, dialect, table, copy.read, overlay_port);
     true
 }
 
-/// Reads tables of the store into the view; rows that cannot be used are skipped. Agents are
+/// Reads tables of the store into the view, that of the operators from its last read on; rows that cannot be
+/// used are skipped. Agents are
 /// expected at `overlay_port` of the machines of listed engines.
 ///
 /// # Errors
@@ -338,24 +341,51 @@
     Dialect: WireDialect,
 {
     for table in tables.iter().copied() {
-        let read = store.list(table).await?;
-        apply_rows(view, dialect, table, read.rows, overlay_port);
+        let read = if table == MirrorTable::Operator {
+            read_operator_rows(view, store).await?
+        } else {
+            store.list(table).await?
+        };
+        apply_rows(view, dialect, table, read, overlay_port);
     }
     Ok(())
 }
 
+/// Reads the operators' rows that changed since the last read, or all of them if none were read before or
+/// the store no longer retains the changes.
+async fn read_operator_rows<Store>(
+    view: &SharedView,
+    store: &Store,
+) -> Result<TableRead, StoreError>
+where
+    Store: TableStore,
+{
+    let table = MirrorTable::Operator;
+    let known = view.borrow().operator_version;
+    let Some(after) = known else {
+        return store.list(table).await;
+    };
+    match store.changes_after(table, after, Duration::ZERO).await {
+        Err(StoreError::HistoryGone) => store.list(table).await,
+        read => read,
+    }
+}
+
 /// Applies rows of a table to the view; those that cannot be used are skipped.
 fn apply_rows<Dialect>(
     view: &SharedView,
     dialect: &Dialect,
     table: MirrorTable,
-    rows: Vec<TableRow>,
+    read: TableRead,
     overlay_port: u16,
 ) where
     Dialect: WireDialect,
 {
     let now = Instant::now();
-    for row in rows {
+    if table == MirrorTable::Operator {
+        view.borrow_mut().operator_version = Some(read.version);
+    }
+    for row in read.rows {
         if table == MirrorTable::Entries {
             let listing = row.value.as_ref().map(|value| EntryRow::parse(value));
             if let Some(Ok(listing)) = listing {
