Causes of refusals have a module of their own

Cause: chooser.rs held the causes and a counter for them beside the choice. Change: core::relay::full_cause; the most frequent cause is found with a map. Comments of the first reads say what bounds their waits.

--- a/crates/agatepin/src/loader/view.rs
+++ b/crates/agatepin/src/loader/view.rs
@@ -323,9 +323,8 @@
     true
 }
 
-/// Reads tables of the store into the view, that of the operators from its last read on; rows that cannot be
-/// used are skipped. Agents are
-/// expected at `overlay_port` of the machines of listed engines.
+/// Reads tables of the store into the view, that of the operators from its last read on; rows that
+/// cannot be used are skipped. Agents are expected at `overlay_port` of the machines of listed engines.
 ///
 /// # Errors
 /// The store cannot be reached, or its response is not valid.
--- a/crates/agatepin/src/relay/access_log.rs
+++ b/crates/agatepin/src/relay/access_log.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use agatepin_core::ids::{ServiceId, UpstreamId};
-use agatepin_core::relay::chooser::FullCause;
+use agatepin_core::relay::full_cause::FullCause;
 
 use crate::relay::admit::PlaceSnapshot;
 use crate::relay::metrics::RelayMetrics;
--- a/crates/agatepin/src/relay/admit.rs
+++ b/crates/agatepin/src/relay/admit.rs
@@ -9,9 +9,8 @@
 use agatepin_core::relay::admission_level::{AdmissionLevel, CONGESTED_QUEUE};
 use agatepin_core::relay::caller_time::CallerTime;
 use agatepin_core::relay::catalog::{RouteSpec, WeightsVersion};
-use agatepin_core::relay::chooser::{
-    self, EntryLocation, FullCause, UpstreamChoice, UpstreamCriteria,
-};
+use agatepin_core::relay::chooser::{self, EntryLocation, UpstreamChoice, UpstreamCriteria};
+use agatepin_core::relay::full_cause::FullCause;
 use agatepin_core::relay::request_size::StatedOutput;
 use agatepin_core::relay::wait_line::WaitLine;
 use tokio::sync::oneshot;
--- a/crates/agatepin/src/relay/mirror.rs
+++ b/crates/agatepin/src/relay/mirror.rs
@@ -1,7 +1,7 @@
 //! Keeps an entry's copy of the tables of the platform's store up to date. A few entries of each
-//! region read the store by long polls; the other entries take changed rows from those, and all rows when
-//! they start. Every entry reads the table of entries itself. While the store does not answer, an entry takes rows from any
-//! other entry that has newer ones.
+//! region read the store by long polls; the other entries take changed rows from those, and all rows
+//! when they start. Every entry reads the table of entries itself. While the store does not answer, an
+//! entry takes rows from any other entry that has newer ones.
 
 mod own_rows;
 
--- a/crates/agatepin/src/relay/refusal.rs
+++ b/crates/agatepin/src/relay/refusal.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use agatepin_core::relay::chooser::FullCause;
+use agatepin_core::relay::full_cause::FullCause;
 use bytes::Bytes;
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
--- a/crates/core/src/relay/chooser.rs
+++ b/crates/core/src/relay/chooser.rs
@@ -1,9 +1,11 @@
 //! Choice of the upstream for a request.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use crate::ids::{RegionId, UpstreamId};
 use crate::relay::catalog::{EngineSpec, EngineTiming, RouteCatalog, WeightsVersion};
+use crate::relay::full_cause::FullCause;
 use crate::relay::request_size::StatedOutput;
 use crate::relay::speed::SpeedFactor;
 use crate::relay::upstream_rates::UpstreamRates;
@@ -26,71 +28,6 @@
 /// in addition to one running request for each slot.
 const PLAIN_QUEUE_LIMIT: u32 = 2;
 
-key_type! {
-    /// Why a request gets no place although some upstreams are eligible.
-    pub enum FullCause {
-        /// The service is overloaded, and a share of its requests is refused at once.
-        Level,
-        /// Requests that are ahead of it wait at this entry.
-        Line,
-        /// Requests that wait at other entries take all free places.
-        PeerLines,
-        /// Most upstreams have as many requests as this entry allows there.
-        Capacity,
-        /// Most upstreams are cold, and this entry has used its share of their rates.
-        ColdRate,
-        /// Most upstreams lack memory for the request.
-        Memory,
-        /// Some upstreams have capacity, but the caller would leave before their first event.
-        Late,
-    }
-}
-
-impl FullCause {
-    /// Code of the cause in logs and metrics.
-    #[must_use]
-    pub fn code(self) -> &'static str {
-        match self {
-            Self::Level => "level",
-            Self::Line => "line",
-            Self::PeerLines => "peer_lines",
-            Self::Capacity => "capacity",
-            Self::ColdRate => "cold_rate",
-            Self::Memory => "memory",
-            Self::Late => "late",
-        }
-    }
-}
-
-/// Eligible upstreams that take no request now, by cause.
-#[derive(Default)]
-struct FullCounts {
-    capacity: u32,
-    cold_rate: u32,
-    memory: u32,
-}
-
-impl FullCounts {
-    fn count(&mut self, cause: FullCause) {
-        match cause {
-            FullCause::ColdRate => self.cold_rate += 1,
-            FullCause::Memory => self.memory += 1,
-            _ => self.capacity += 1,
-        }
-    }
-
-    /// The most frequent cause; none if there is no such upstream.
-    fn most_frequent(&self) -> Option<FullCause> {
-        let counts = [
-            (self.memory, FullCause::Memory),
-            (self.cold_rate, FullCause::ColdRate),
-            (self.capacity, FullCause::Capacity),
-        ];
-        let (count, cause) = counts.into_iter().max_by_key(|(count, _)| *count)?;
-        (count > 0).then_some(cause)
-    }
-}
-
 value_type! {
     /// Requirements of a request for its upstream.
     pub struct UpstreamCriteria<'call> {
@@ -171,7 +108,7 @@
     Random: FnMut() -> f64,
 {
     let mut best: Option<(Duration, &UpstreamId)> = None;
-    let mut full = FullCounts::default();
+    let mut full: BTreeMap<FullCause, u32> = BTreeMap::new();
     let mut any_late = false;
     let mut first_hold_end: Option<Duration> = None;
     let mut first_token: Option<Duration> = None;
@@ -200,7 +137,7 @@
             (stated_speed.scale(delay), false)
         };
         if let Some(cause) = full_cause(id, state, rates, location, criteria, now) {
-            full.count(cause);
+            *full.entry(cause).or_default() += 1;
             continue;
         }
         if is_late && state.load(now) > 0 {
@@ -217,11 +154,12 @@
             best = Some((score, id));
         }
     }
+    let most_frequent = full.into_iter().max_by_key(|(_, count)| *count);
     match best {
         Some((_, id)) => UpstreamChoice::Send(id.clone()),
         None if any_late => UpstreamChoice::Late,
-        None => match (full.most_frequent(), first_token, first_hold_end) {
-            (Some(cause), _, _) => UpstreamChoice::Full(cause),
+        None => match (most_frequent, first_token, first_hold_end) {
+            (Some((cause, _)), _, _) => UpstreamChoice::Full(cause),
             (None, Some(token), hold) if hold.is_none_or(|hold| token <= hold) => {
                 UpstreamChoice::RateLimited(token)
             }
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -10,6 +10,7 @@
 pub mod entry_limits;
 pub mod events;
 pub mod fetch_choice;
+pub mod full_cause;
 pub mod liveness;
 pub mod load_order;
 pub mod notices;
--- a/crates/core/src/relay/readers.rs
+++ b/crates/core/src/relay/readers.rs
@@ -207,8 +207,8 @@
 }
 
 /// Time that an entry waits before it reads a table of which it has no copy from the store. The
-/// parameters are those of [`other_region_wait`]. The rows of a whole table are many, and all entries may
-/// have started at once, so that their turns are further apart than after a change.
+/// parameters are those of [`other_region_wait`], whose bound does not apply: no change must be in force by
+/// then, and all entries may have started at once.
 #[must_use]
 pub fn first_read_wait(before: usize, regions: usize) -> Duration {
     turn_wait(before, regions).min(MAX_FIRST_READ_WAIT)
--- a/crates/core/tests/relay/chooser.rs
+++ b/crates/core/tests/relay/chooser.rs
@@ -5,8 +5,9 @@
 
 use agatepin_core::relay::catalog::{EngineSpec, RouteCatalog};
 use agatepin_core::relay::chooser::{
-    EntryLocation, FullCause, UpstreamChoice, UpstreamCriteria, choose_upstream, first_event_delay,
+    EntryLocation, UpstreamChoice, UpstreamCriteria, choose_upstream, first_event_delay,
 };
+use agatepin_core::relay::full_cause::FullCause;
 use agatepin_core::relay::request_size::StatedOutput;
 use agatepin_core::relay::stated_limit::RequestRate;
 use agatepin_core::relay::upstream_rates::UpstreamRates;
--- a/crates/core/tests/relay/engine_memory.rs
+++ b/crates/core/tests/relay/engine_memory.rs
@@ -2,7 +2,8 @@
 
 use std::time::Instant;
 
-use agatepin_core::relay::chooser::{FullCause, UpstreamChoice};
+use agatepin_core::relay::chooser::UpstreamChoice;
+use agatepin_core::relay::full_cause::FullCause;
 use agatepin_core::relay::request_size::StatedOutput;
 use agatepin_core::relay::upstreams::{
     EngineMemory, EngineReport, REPORT_TTL, UpstreamDirectory, UpstreamState,
