A worker's 503 no longer promises that its request has not run

What callers saw: an order that a worker had run, and then answered with 503 and no statement that it had not, was answered 503 by the entry.

Cause: send_once asked for the worker's statement to decide on a retry, but passed the status on whatever it promises to callers. A statement without an attempt id was believed as well, and a worker that answered 408 or 429 in this way did not count as failing.

Change: classify_answer decides by the head of an answer, for all paths. A status that promises, without a statement that names this attempt, is an unclear refusal: a failure of its worker, retried where the request may be repeated, and otherwise 502. RefusalReason::or_unknown keeps later refusals from promising anything once an attempt may have run.

--- a/crates/agatepin/src/relay/attempt.rs
+++ b/crates/agatepin/src/relay/attempt.rs
@@ -24,6 +24,7 @@
 use crate::relay::metrics::RelayMetrics;
 use crate::relay::part_watch::AttemptWitness;
 use crate::relay::ports::{AnswerHead, ForwardHead, StatedLoad, UpstreamNotices, WireDialect};
+use crate::relay::refusal::{self, RefusalReason};
 
 /// Timeout of the connection to an upstream: covers the longest round trip and a slow handshake.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -72,6 +73,9 @@
     Unreachable,
     /// The request may have run; the text gives the cause.
     MayHaveRun(&'static str),
+    /// The status of the answer promises that the request has not run, but the upstream does not state
+    /// so. The request may have run.
+    UnclearRefusal,
     /// The upstream answered with a server error, and a retry was taken from the shared limit.
     ServerError,
     /// The upstream was silent, and the request may have run. The guard holds a slot at the upstream
@@ -81,6 +85,21 @@
     TimeUp,
 }
 
+impl AttemptFailure {
+    /// Reason that the caller is given if this attempt may have run; none if it has not, or if the
+    /// caller's time has passed.
+    #[must_use]
+    pub fn unknown_outcome(&self) -> Option<RefusalReason> {
+        match self {
+            Self::MayHaveRun(_) | Self::ServerError | Self::Replaced(_) => {
+                Some(RefusalReason::Broken)
+            }
+            Self::UnclearRefusal => Some(RefusalReason::UnclearRefusal),
+            Self::NotRun(_) | Self::Unreachable | Self::TimeUp => None,
+        }
+    }
+}
+
 /// Times of one attempt for the log. The line is written on drop if no head of an answer arrived,
 /// so that attempts which end because their caller disconnected are logged too.
 struct AttemptTrace<'call> {
@@ -367,30 +386,24 @@
         record_limit(fleet, metrics, request, &upstream, born, &head, now);
         record_load(fleet, &mut slot, born, &head.load);
     }
-    let foreign = head.id.as_ref().is_some_and(|id| *id != request.id);
-    if head.not_run && !foreign {
-        slot.set_outcome(SendOutcome::NotRun);
-        log::info!(
-            request = request.id, upstream, status = response.status().as_u16();
-            "upstream did not run the request"
-        );
-        return Err(AttemptFailure::NotRun(slot));
-    }
-    let unsigned = response.status().is_success() && !head.sealed;
-    let status = response.status().as_u16();
-    let invalid_status = !FINAL_STATUSES.contains(&status);
-    // An answer is discarded if it belongs to another attempt, if its body has a content encoding, if
-    // it is a success without the upstream's signature, or if its status is not that of a final answer.
-    if foreign || head.encoded || unsigned || invalid_status {
-        slot.set_outcome(SendOutcome::Failed);
-        // `foreign`: the answer carries the id of another attempt; `unsigned`: it is a success without
-        // the upstream's signature. If neither is set nor `invalid_status`, the body had a content
-        // encoding.
-        log::warn!(
-            request = request.id, upstream, status, foreign, unsigned, invalid_status;
-            "answer not passed on"
-        );
-        return Err(AttemptFailure::MayHaveRun("foreign answer"));
+    match classify_answer(&request.id, response.status(), &head) {
+        AnswerKind::Forwardable => {}
+        AnswerKind::NotRun => {
+            slot.set_outcome(SendOutcome::NotRun);
+            log::info!(
+                request = request.id, upstream, status = response.status().as_u16();
+                "upstream did not run the request"
+            );
+            return Err(AttemptFailure::NotRun(slot));
+        }
+        AnswerKind::UnclearRefusal => {
+            discard_answer(&mut slot, &request.id, response.status(), &head);
+            return Err(AttemptFailure::UnclearRefusal);
+        }
+        AnswerKind::Invalid => {
+            discard_answer(&mut slot, &request.id, response.status(), &head);
+            return Err(AttemptFailure::MayHaveRun("foreign answer"));
+        }
     }
     let server_error = response.status() >= StatusCode::INTERNAL_SERVER_ERROR;
     slot.set_outcome(if server_error {
@@ -406,6 +419,58 @@
     })
 }
 
+/// What the head of an answer says of an attempt.
+enum AnswerKind {
+    /// The answer can be passed on.
+    Forwardable,
+    /// The upstream states that it did not run the request.
+    NotRun,
+    /// The status promises that the request has not run, but the upstream does not state so, or its
+    /// statement names no attempt.
+    UnclearRefusal,
+    /// The answer belongs to another attempt, its body has a content encoding, it is a success without
+    /// the upstream's signature, or its status is not that of a final answer.
+    Invalid,
+}
+
+/// Classifies the answer with `status` and `head` to the attempt `attempt_id`.
+fn classify_answer(attempt_id: &str, status: StatusCode, head: &AnswerHead) -> AnswerKind {
+    let is_own = head.id.as_deref() == Some(attempt_id);
+    // A statement without an id may be about any attempt.
+    if head.not_run && is_own {
+        return AnswerKind::NotRun;
+    }
+    let foreign = head.id.is_some() && !is_own;
+    let unsigned = status.is_success() && !head.sealed;
+    if foreign || head.encoded || unsigned || !FINAL_STATUSES.contains(&status.as_u16()) {
+        return AnswerKind::Invalid;
+    }
+    if head.not_run || refusal::promises_not_run(status) {
+        return AnswerKind::UnclearRefusal;
+    }
+    AnswerKind::Forwardable
+}
+
+/// Logs why the answer to `request` with `status` and `head` is not passed on, and records in `slot` that
+/// the upstream failed.
+fn discard_answer(slot: &mut SlotGuard, request: &str, status: StatusCode, head: &AnswerHead) {
+    slot.set_outcome(SendOutcome::Failed);
+    let upstream = &slot.upstream;
+    let foreign = head.id.as_deref().is_some_and(|id| id != request);
+    let unsigned = status.is_success() && !head.sealed;
+    let status = status.as_u16();
+    let invalid_status = !FINAL_STATUSES.contains(&status);
+    let (no_id, states_not_run) = (head.id.is_none(), head.not_run);
+    // `foreign`: the answer carries the id of another attempt; `no_id`: it carries none; `unsigned`: it is
+    // a success without the upstream's signature; `states_not_run`: it states that the request did not
+    // run. If none is set nor `invalid_status`, the body had a content encoding, or the status promises
+    // that the request has not run.
+    log::warn!(
+        request, upstream, status, foreign, no_id, unsigned, invalid_status, states_not_run;
+        "answer not passed on"
+    );
+}
+
 /// Upstream of an attempt, as the entry knows it.
 struct UpstreamTarget {
     /// Address to which the request is sent.
--- a/crates/agatepin/src/relay/call.rs
+++ b/crates/agatepin/src/relay/call.rs
@@ -261,8 +261,9 @@
         // Upstreams of all attempts, and the number of attempts without a connection.
         let mut tried = Vec::new();
         let mut unreachable = 0;
-        // Once the request may have run somewhere, no refusal may state that it has not.
-        let mut may_have_run = false;
+        // Reason to state once the request may have run somewhere: no answer may promise then that it has
+        // not.
+        let mut unknown = None;
         // Slot for the next attempt, if the last upstream was replaced.
         let mut replacement = None;
         loop {
@@ -277,8 +278,7 @@
             };
             let slot = match slot {
                 Ok(slot) => slot,
-                Err(_) if may_have_run => return refuse(record, RefusalReason::Broken),
-                Err(reason) => return self.refuse(&call, record, reason),
+                Err(reason) => return self.refuse(&call, record, reason.or_unknown(unknown)),
             };
             record.sent_to.push(slot.upstream().clone());
             tried.push(slot.upstream().clone());
@@ -304,21 +304,12 @@
                 unreachable += 1;
             }
             let sent = tried.len() - unreachable;
-            may_have_run |= matches!(
-                failure,
-                AttemptFailure::MayHaveRun(_)
-                    | AttemptFailure::ServerError
-                    | AttemptFailure::Replaced(_)
-            );
+            unknown = failure.unknown_outcome().or(unknown);
             match self.retry_decision(&call, &failure, sent, unreachable) {
                 RetryDecision::Retry => {}
-                RetryDecision::Refuse(RefusalReason::TimeUp) => {
-                    return refuse(record, RefusalReason::TimeUp);
+                RetryDecision::Refuse(reason) => {
+                    return self.refuse(&call, record, reason.or_unknown(unknown));
                 }
-                RetryDecision::Refuse(_) if may_have_run => {
-                    return refuse(record, RefusalReason::Broken);
-                }
-                RetryDecision::Refuse(reason) => return self.refuse(&call, record, reason),
             }
             if let AttemptFailure::Replaced(slot) = failure {
                 replacement = Some(slot);
--- a/crates/agatepin/src/relay/call/retries.rs
+++ b/crates/agatepin/src/relay/call/retries.rs
@@ -125,6 +125,10 @@
                 return RetryDecision::Retry;
             }
             AttemptFailure::NotRun(_) => RefusalReason::NotRun,
+            AttemptFailure::UnclearRefusal if !call.route.kind.is_retryable() => {
+                return RetryDecision::Refuse(RefusalReason::UnclearRefusal);
+            }
+            AttemptFailure::UnclearRefusal => RefusalReason::UnclearRefusal,
             AttemptFailure::MayHaveRun(reason)
                 if !call.route.kind.is_retryable()
                     || attempt::is_break(reason) && !call.parts.is_clear() =>
--- a/crates/agatepin/src/relay/ports.rs
+++ b/crates/agatepin/src/relay/ports.rs
@@ -6,6 +6,7 @@
 
 use agatepin_core::ids::{CustomerId, DataCentreId, ModelId, PartId, RegionId, UpstreamId};
 use agatepin_core::relay::catalog::{CatalogSpec, WeightsVersion};
+use agatepin_core::relay::load_order::OrderCount;
 use agatepin_core::relay::request_size::StatedOutput;
 use agatepin_core::relay::row_version::RowVersion;
 use agatepin_core::relay::speed::SpeedFactor;
@@ -212,6 +213,17 @@
     }
 }
 
+impl EngineState {
+    /// Count of the load orders that the engine has accepted.
+    #[must_use]
+    pub fn order_count(&self) -> OrderCount {
+        OrderCount {
+            orders: self.orders,
+            born: self.born,
+        }
+    }
+}
+
 /// Client of the platform's table service.
 pub trait TableStore: Clone + 'static {
     /// Reads all rows of a table.
--- a/crates/agatepin/src/relay/refusal.rs
+++ b/crates/agatepin/src/relay/refusal.rs
@@ -50,6 +50,9 @@
         NotRun,
         /// The upstream's answer broke off; the request may have run.
         Broken,
+        /// The status of the upstream's answer promises that the request has not run, but the upstream
+        /// does not state so; the request may have run.
+        UnclearRefusal,
         /// The deadline passed after the request had been sent.
         TimeUp,
         /// The deadline passed before the request was sent.
@@ -97,6 +100,7 @@
             Self::CrashingPart => "crashing_part",
             Self::NotRun => "not_run",
             Self::Broken => "broken",
+            Self::UnclearRefusal => "unclear_refusal",
             Self::TimeUp => "time_up",
             Self::TimeUpUnsent => "time_up_unsent",
             Self::Leaving => "leaving",
@@ -112,7 +116,7 @@
         }
     }
 
-    /// Status of the answer. 408 and 503 guarantee that the request has not run and never will.
+    /// Status of the answer; see [`promises_not_run`].
     #[must_use]
     pub fn status(self) -> StatusCode {
         match self {
@@ -122,7 +126,7 @@
             Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Slow => StatusCode::REQUEST_TIMEOUT,
-            Self::Broken => StatusCode::BAD_GATEWAY,
+            Self::Broken | Self::UnclearRefusal => StatusCode::BAD_GATEWAY,
             Self::TimeUp => StatusCode::GATEWAY_TIMEOUT,
             Self::NoConfig
             | Self::NoMemory
@@ -139,6 +143,14 @@
         }
     }
 
+    /// The reason to state if an earlier attempt may have run, for the reason `unknown`: that one where
+    /// this one would promise that the request has not run.
+    #[must_use]
+    pub fn or_unknown(self, unknown: Option<Self>) -> Self {
+        let unknown = unknown.filter(|_| promises_not_run(self.status()));
+        unknown.unwrap_or(self)
+    }
+
     /// When the caller may come back.
     #[must_use]
     pub fn return_time(self) -> ReturnTime {
@@ -159,6 +171,19 @@
     }
 }
 
+/// Whether an answer with `status` promises its caller that the request has not run and never will, so
+/// that the caller may send it again.
+#[must_use]
+pub fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Builds the answer to a request that is refused or has failed. The caller is told to come back after
 /// `retry_after`, if there is such a time.
 #[must_use]
