An agent no longer waits for ever for a version that its cache has dropped

Cause: finish_earlier_load, which loads the version that an earlier process may have ordered, ended only with that version loaded. While it waited for the engine's turn, newer versions were fetched, and the cache dropped the pieces.

Change: the load pins its version in the cache, which evicts others in its place and holds three versions as before. Missing pieces are fetched again for a limited time, and the load gives way once the engine has accepted another order or was started again (OrderCount): an order of the earlier process is void then. The stage still takes nothing else before that.

--- a/crates/agatepin/src/loader/cache.rs
+++ b/crates/agatepin/src/loader/cache.rs
@@ -13,8 +13,8 @@
 
 use crate::relay::ports::PieceDigests;
 
-/// Maximum number of versions kept in memory: the one that the engine serves, an older announced one
-/// whose fetch is being finished, and the newest.
+/// Maximum number of versions kept in memory: the one that the engine serves or is to load first, an older
+/// announced one whose fetch is being finished, and the newest.
 const MAX_CACHED_VERSIONS: usize = 3;
 
 agatepin_core::value_type! {
@@ -79,11 +79,40 @@
 pub struct PieceCache {
     /// Pieces and digests of each version; at most [`MAX_CACHED_VERSIONS`] after an eviction.
     versions: Rc<RefCell<BTreeMap<WeightsVersion, VersionPieces>>>,
+    /// Versions that are not evicted, one entry for each pin.
+    pinned: Rc<RefCell<Vec<WeightsVersion>>>,
     /// Wakes the tasks that wait for pieces or digests.
     changed: Rc<Notify>,
 }
 
+/// Keeps a version from being evicted until it is dropped.
+#[derive(Debug)]
+pub struct VersionPin {
+    cache: PieceCache,
+    version: WeightsVersion,
+}
+
+impl Drop for VersionPin {
+    fn drop(&mut self) {
+        let mut pinned = self.cache.pinned.borrow_mut();
+        let position = pinned.iter().position(|version| *version == self.version);
+        if let Some(position) = position {
+            pinned.swap_remove(position);
+        }
+    }
+}
+
 impl PieceCache {
+    /// Keeps `version` cached for as long as the pin is held. Pinned versions take the place of others.
+    #[must_use]
+    pub fn pin(&self, version: WeightsVersion) -> VersionPin {
+        self.pinned.borrow_mut().push(version);
+        VersionPin {
+            cache: self.clone(),
+            version,
+        }
+    }
+
     /// Calls `act` on the cached pieces of `version`, a new empty set if it has none, and wakes the
     /// tasks that wait for pieces or digests if `act` added some.
     pub fn with<Act, Out>(&self, version: WeightsVersion, act: Act) -> Out
@@ -153,11 +182,16 @@
             .unwrap_or_default()
     }
 
-    /// Drops the oldest versions beyond `MAX_CACHED_VERSIONS`.
+    /// Drops the oldest versions beyond [`MAX_CACHED_VERSIONS`] that are not pinned.
     pub fn evict_old_versions(&self) {
         let mut versions = self.versions.borrow_mut();
+        let pinned = self.pinned.borrow();
         while versions.len() > MAX_CACHED_VERSIONS {
-            versions.pop_first();
+            let mut unpinned = versions.keys().filter(|version| !pinned.contains(version));
+            let Some(oldest) = unpinned.next().copied() else {
+                return;
+            };
+            versions.remove(&oldest);
         }
     }
 
--- a/crates/agatepin/src/loader/swap.rs
+++ b/crates/agatepin/src/loader/swap.rs
@@ -6,7 +6,9 @@
 
 use agatepin_core::ids::ServiceId;
 use agatepin_core::relay::catalog::WeightsVersion;
-use agatepin_core::relay::load_order::{LoadEvidence, LoadOrder, OrderStatus, StageCheck};
+use agatepin_core::relay::load_order::{
+    LoadEvidence, LoadOrder, OrderCount, OrderStatus, StageCheck,
+};
 use agatepin_core::relay::rollout::{self, RolloutWindow};
 use bytes::Bytes;
 use eyre::{Result, bail, eyre};
@@ -105,14 +107,15 @@
 
     /// Loads the version that is staged completely although the engine has an older one: an earlier
     /// process of this agent may have ordered that load, and the engine may still accept the order.
-    /// The stage can take pieces of a newer version only after that.
+    /// The stage can take pieces of a newer version only after that, or once the engine can't accept the
+    /// order any more.
     async fn finish_earlier_load(&self) {
-        let (plan, loaded, staged) = loop {
+        let (plan, state, staged) = loop {
             let plan = self.fetcher.view.borrow().plan(&self.service);
             if let (Some(plan), Some(state)) = (plan, self.monitor.state()) {
                 let loaded = state.report.weights;
                 match self.fetcher.staged_version(&plan, loaded).await {
-                    Ok(staged) => break (plan, loaded, staged),
+                    Ok(staged) => break (plan, state, staged),
                     Err(err) => log::warn!(err:?; "cannot read the engine's stage"),
                 }
             }
@@ -121,12 +124,20 @@
         let Some(version) = staged else {
             return;
         };
+        // Newer versions are fetched while this one waits for the engine's turn.
+        let _pin = self.fetcher.cache.pin(version);
         let plan = LoadPlan { version, ..plan };
-        let fetched = self.fetcher.fetch_in_time(&plan).await;
-        // The stage holds `version`, which an earlier process may have ordered; `fetched` tells whether
-        // all of its pieces are cached.
-        log::info!(version, loaded:?, fetched; "finishing an earlier load");
-        while fetched && !self.has_loaded(version) {
+        // The stage holds `version`, which an earlier process may have ordered.
+        log::info!(version, loaded:? = state.report.weights; "finishing an earlier load");
+        while !self.has_loaded(version) {
+            if !self.may_accept(state.order_count()) {
+                log::info!(version; "earlier load can't be ordered any more");
+                return;
+            }
+            if !self.has_pieces(&plan).await {
+                log::warn!(version; "earlier load given up: some pieces cannot be fetched");
+                return;
+            }
             if !self.is_turn(&plan) {
                 sleep(POLL_INTERVAL).await;
                 continue;
@@ -139,6 +150,17 @@
         }
     }
 
+    /// Whether the engine may still accept an order that was given when its orders had this `count`.
+    fn may_accept(&self, count: OrderCount) -> bool {
+        let state = self.monitor.state();
+        state.is_none_or(|state| count.status(state.order_count()) == OrderStatus::Pending)
+    }
+
+    /// Whether all pieces of the version of `plan` are cached, if need be after a fetch of limited time.
+    async fn has_pieces(&self, plan: &LoadPlan) -> bool {
+        self.fetcher.cache.is_complete(plan.version) || self.fetcher.fetch_in_time(plan).await
+    }
+
     /// Whether the engine has loaded `version` or a newer one.
     fn has_loaded(&self, version: WeightsVersion) -> bool {
         let Some(state) = self.monitor.state() else {
@@ -199,7 +221,7 @@
             .monitor
             .state()
             .ok_or_else(|| eyre!("the engine does not respond"))?;
-        let mut order = LoadOrder::new(state.orders, state.born, check);
+        let mut order = LoadOrder::new(state.order_count(), check);
         match self.attempt(plan, &order).await {
             OrderOutcome::Begun | OrderOutcome::InEffect => return Ok(order),
             OrderOutcome::Refused(status) => bail!("the engine refused the load order: {status}"),
@@ -210,7 +232,7 @@
             let Ok(state) = self.fetcher.engine.state().await else {
                 continue;
             };
-            match order.record_state(state.orders, state.born) {
+            match order.record_count(state.order_count()) {
                 OrderStatus::Accepted => return Ok(order),
                 OrderStatus::Void => bail!("the engine was started again after the load order"),
                 OrderStatus::Pending => {}
--- a/crates/core/src/relay/load_order.rs
+++ b/crates/core/src/relay/load_order.rs
@@ -23,6 +23,15 @@
         pub repaired: bool,
     }
 
+    /// Life of an engine and the number of orders that it had accepted in it, at one moment.
+    #[derive(Copy)]
+    pub struct OrderCount {
+        /// Number of accepted orders.
+        pub orders: u64,
+        /// Start of the engine, in Unix milliseconds.
+        pub born: u64,
+    }
+
     /// What an engine's state tells of a load order.
     pub enum OrderStatus {
         /// The engine may still accept the order.
@@ -44,6 +53,21 @@
     }
 }
 
+impl OrderCount {
+    /// What the engine's later count `now` tells of an order that was given for this one. Orders state the
+    /// count that they were given for, and the engine accepts none that was given for another.
+    #[must_use]
+    pub fn status(self, now: Self) -> OrderStatus {
+        if now.born != self.born {
+            return OrderStatus::Void;
+        }
+        if now.orders > self.orders {
+            return OrderStatus::Accepted;
+        }
+        OrderStatus::Pending
+    }
+}
+
 impl StageCheck {
     /// Whether the engine will probably accept an order that it is given at `now` before the check is
     /// too old.
@@ -56,10 +80,8 @@
 /// A load order that was given at least once.
 #[derive(Clone, Debug)]
 pub struct LoadOrder {
-    /// Number of orders that the engine had accepted before.
-    orders: u64,
-    /// Start of the engine, in Unix milliseconds.
-    born: u64,
+    /// Count of the engine's orders before this one.
+    count: OrderCount,
     /// Latest check of the stage that ended before the acceptance.
     check: StageCheck,
     /// Latest check that may have ended after the acceptance.
@@ -69,13 +91,11 @@
 }
 
 impl LoadOrder {
-    /// An order that is given to an engine which was started at `born` and has accepted `orders`
-    /// orders, after `check` of its stage.
+    /// An order that is given to an engine with this `count` of orders, after `check` of its stage.
     #[must_use]
-    pub fn new(orders: u64, born: u64, check: StageCheck) -> Self {
+    pub fn new(count: OrderCount, check: StageCheck) -> Self {
         Self {
-            orders,
-            born,
+            count,
             check,
             later_check: None,
             later_repair: false,
@@ -86,13 +106,13 @@
     /// order together are accepted at most once.
     #[must_use]
     pub fn orders(&self) -> u64 {
-        self.orders
+        self.count.orders
     }
 
     /// Start of the engine, in Unix milliseconds.
     #[must_use]
     pub fn born(&self) -> u64 {
-        self.born
+        self.count.born
     }
 
     /// Records a check of the stage that was made after the first attempt.
@@ -106,16 +126,13 @@
         self.later_repair = true;
     }
 
-    /// Records the state of the engine, read after the checks recorded so far.
-    pub fn record_state(&mut self, orders: u64, born: u64) -> OrderStatus {
-        if born != self.born {
-            return OrderStatus::Void;
-        }
-        if orders > self.orders {
-            return OrderStatus::Accepted;
+    /// Records the engine's count of orders, read after the checks recorded so far.
+    pub fn record_count(&mut self, now: OrderCount) -> OrderStatus {
+        let status = self.count.status(now);
+        if status == OrderStatus::Pending {
+            self.record_not_accepted();
         }
-        self.record_not_accepted();
-        OrderStatus::Pending
+        status
     }
 
     /// Records that the engine accepted the order only after the checks recorded so far.
--- a/crates/core/tests/relay/load_order.rs
+++ b/crates/core/tests/relay/load_order.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use agatepin_core::relay::load_order::{
-    BootTime, LoadEvidence, LoadOrder, MAX_CHECK_AGE, OrderStatus, StageCheck,
+    BootTime, LoadEvidence, LoadOrder, MAX_CHECK_AGE, OrderCount, OrderStatus, StageCheck,
 };
 
 fn check(started: BootTime, repaired: bool) -> StageCheck {
@@ -12,7 +12,11 @@
 
 /// An order that is given first at this time, right after a check.
 fn order_at(now: BootTime) -> LoadOrder {
-    LoadOrder::new(4, 1_000, check(now, false))
+    LoadOrder::new(count(4, 1_000), check(now, false))
+}
+
+fn count(orders: u64, born: u64) -> OrderCount {
+    OrderCount { orders, born }
 }
 
 /// Guards against pieces of another version in the stage while an engine may still accept an order: an
@@ -20,11 +24,11 @@
 #[test]
 fn an_order_is_pending_until_the_engine_has_accepted_one_or_was_started_again() {
     let mut order = order_at(Duration::ZERO);
-    assert_eq!(order.record_state(4, 1_000), OrderStatus::Pending);
-    assert_eq!(order.record_state(5, 1_000), OrderStatus::Accepted);
-    assert_eq!(order.record_state(0, 2_000), OrderStatus::Void);
+    assert_eq!(order.record_count(count(4, 1_000)), OrderStatus::Pending);
+    assert_eq!(order.record_count(count(5, 1_000)), OrderStatus::Accepted);
+    assert_eq!(order.record_count(count(0, 2_000)), OrderStatus::Void);
     // Its number of orders tells nothing of the order where the engine was started again.
-    assert_eq!(order.record_state(5, 2_000), OrderStatus::Void);
+    assert_eq!(order.record_count(count(5, 2_000)), OrderStatus::Void);
 }
 
 #[test]
@@ -48,6 +52,6 @@
     order.record_check(check(Duration::from_secs(3), false));
     assert_eq!(order.evidence(later, false), LoadEvidence::Doubtful);
     // The order was accepted after the repair.
-    assert_eq!(order.record_state(4, 1_000), OrderStatus::Pending);
+    assert_eq!(order.record_count(count(4, 1_000)), OrderStatus::Pending);
     assert_eq!(order.evidence(later, false), LoadEvidence::Valid);
 }
