Weights do not serve before their load order is known to be accepted

What callers would see: for some 100 ms, answers from weights whose pieces had turned corrupt before the load.

Cause: an agent whose load order has no answer repeats it, and reports the engine as free if the repeated order is refused. The engine may have refused it because it accepted the first one after the agent's last read of its state, and then holds weights whose pieces are not proved to be valid.

Change: from the order until the evidence on its pieces is known, the engine is reported as busy if it holds the ordered version.

--- a/crates/agatepin/src/loader/monitor.rs
+++ b/crates/agatepin/src/loader/monitor.rs
@@ -14,7 +14,7 @@
 use tokio::time::sleep;
 
 use crate::loader::cache::PieceCache;
-use crate::loader::swap::SwapFlag;
+use crate::loader::swap::{SwapFlag, UnprovedVersion};
 use crate::loader::view::SharedView;
 use crate::relay::datagram::{Datagram, DatagramBody, EngineLoad, NewestWeights};
 use crate::relay::ports::{EnginePort, EngineState};
@@ -89,6 +89,8 @@
     pub view: SharedView,
     /// Whether a swap of weights is in progress; the engine is then reported as busy.
     pub swapping: SwapFlag,
+    /// Version that the engine may have loaded from corrupt pieces; it is then reported as busy.
+    pub unproved: UnprovedVersion,
     /// Socket that reports are sent from.
     pub socket: Rc<UdpSocket>,
 }
@@ -138,12 +140,15 @@
         let state = self.monitor.state();
         let report = state.map(|state| state.report);
         let memory = report.as_ref().and_then(|r| r.memory);
+        let weights = report.as_ref().and_then(|r| r.weights);
+        let unproved = self.unproved.get();
+        let is_unproved = unproved.is_some_and(|version| weights >= Some(version));
         EngineLoad {
             engine: self.address.to_string(),
             region: self.region.clone(),
             up: report.is_some(),
-            weights: report.as_ref().and_then(|r| r.weights).unwrap_or_default(),
-            busy: self.swapping.get() || report.as_ref().is_some_and(|r| r.busy),
+            weights: weights.unwrap_or_default(),
+            busy: self.swapping.get() || is_unproved || report.as_ref().is_some_and(|r| r.busy),
             active: report.as_ref().map_or(0, |r| r.active),
             queued: report.as_ref().map_or(0, |r| r.queued),
             holds: self.cache.newest_complete_version().unwrap_or_default(),
--- a/crates/agatepin/src/loader/swap.rs
+++ b/crates/agatepin/src/loader/swap.rs
@@ -37,6 +37,26 @@
 /// busy, so that entries send it no requests.
 pub type SwapFlag = Rc<Cell<bool>>;
 
+/// Version of an outstanding load order whose pieces are not known to be valid; none if there is no such
+/// order. If the engine holds that version, it is reported as busy.
+pub type UnprovedVersion = Rc<Cell<Option<WeightsVersion>>>;
+
+/// Records a version as unproved until it is dropped.
+struct UnprovedGuard<'swap>(&'swap UnprovedVersion);
+
+impl<'swap> UnprovedGuard<'swap> {
+    fn new(unproved: &'swap UnprovedVersion, version: WeightsVersion) -> Self {
+        unproved.set(Some(version));
+        Self(unproved)
+    }
+}
+
+impl Drop for UnprovedGuard<'_> {
+    fn drop(&mut self) {
+        self.0.set(None);
+    }
+}
+
 /// Swaps the weights of one engine.
 pub struct WeightSwapper<Engine> {
     /// Source of the pieces, of the plan (which version to load) and of the stage's writer.
@@ -48,6 +68,8 @@
     /// True from before the drain of the engine until the swap has succeeded or failed, and while the
     /// engine holds doubtful weights.
     pub swapping: SwapFlag,
+    /// Version that the engine has been ordered to load and may load unnoticed.
+    pub unproved: UnprovedVersion,
     /// Version whose pieces may have been corrupt when an engine loaded them, and the start of that
     /// engine.
     pub doubtful: Cell<Option<(WeightsVersion, u64)>>,
@@ -193,6 +215,7 @@
             }
             check = self.check(plan, &pieces, &guard).await?;
         }
+        let _unproved = UnprovedGuard::new(&self.unproved, plan.version);
         let order = self.order(plan, &pieces, &guard, check).await?;
         self.swapping.set(true);
         let evidence = self.evidence(plan, &pieces, &guard, &order).await;
