A 503 of an engine that has weights is no longer reported as not run

What callers would see: x-agatepin-outcome not-run for a chat that an engine ran before it answered 503.

Cause: check_answer_weights took each 503 without the digest of the weights for "nothing is loaded". docs/PROTOCOLS.md has engines answer so while nothing is loaded; it does not say that no other engine does.

Change: such an answer counts as not run only if the engine's state then shows that nothing is loaded, and otherwise as one that does not come from the verified weights.

--- a/crates/agatepin/src/agent/calls/run.rs
+++ b/crates/agatepin/src/agent/calls/run.rs
@@ -210,7 +210,7 @@
         Ok(answer) => answer,
         Err(err) => return Err(classify_failure(server, call, err).await),
     };
-    check_answer_weights(&answer, weights)?;
+    check_answer_weights(server, &answer, weights).await?;
     let UpstreamAnswer {
         status,
         headers,
@@ -243,7 +243,8 @@
 }
 
 /// Checks that the answer comes from the weights that the agent verified.
-fn check_answer_weights(
+async fn check_answer_weights(
+    server: &CallServer,
     answer: &UpstreamAnswer,
     weights: Option<&ServedWeights>,
 ) -> Result<(), CallFailure> {
@@ -253,7 +254,8 @@
     if answer.weights == Some(weights.digest) {
         return Ok(());
     }
-    if answer.status == 503 {
+    // An engine that has weights may have run the call before it answered with this status.
+    if answer.status == 503 && has_no_weights(server).await {
         return Err(CallFailure {
             kind: FailureKind::NotRun,
             message: "engine has no weights loaded".into(),
@@ -262,6 +264,12 @@
     Err(weights_changed(weights))
 }
 
+/// Whether the engine states that it has no weights loaded.
+async fn has_no_weights(server: &CallServer) -> bool {
+    let state = server.upstream.engine_state().await;
+    state.is_ok_and(|state| state.digest.is_none())
+}
+
 /// Checks that the engine still serves the verified weights after the answer has ended.
 async fn confirm_weights(server: &CallServer, weights: &ServedWeights) -> Result<(), CallFailure> {
     if server.served_digest_reader.served_digest().await == Some(weights.digest) {
--- a/crates/agatepin/tests/harness/directives.rs
+++ b/crates/agatepin/tests/harness/directives.rs
@@ -13,8 +13,9 @@
 //!   corrupts a fraction of its chunk responses, or makes all requests fail.
 //! - `engine name= [cold_limit= warm_limit= cold_ms= slowdown= token_ms= tokens= lag_ms= fences=]`:
 //!   starts an engine.
-//! - `engine-fault name= cold_ms= [hidden=]`, `crash=true` or `digest= model= version=`: turns an
-//!   engine cold, with `hidden=true` unreported; crashes it; or replaces its weights.
+//! - `engine-fault name= cold_ms= [hidden=]`, `crash=true`, `withhold=` or `digest= model= version=`: turns
+//!   an engine cold, with `hidden=true` unreported; crashes it; has it answer requests that it runs with
+//!   status 503, or no longer; or replaces its weights.
 //! - `service name= [delay_ms=]`: starts a plain service.
 //! - `service-fault name= [mode=answer|hold|drop|fail] [count=] [delay_ms=]`: sets how a plain
 //!   service handles the next `count` calls, or all calls, and the duration of an execution.
@@ -245,6 +246,9 @@
         };
         engine.control(EngineControl::SwapWeights(weights))?;
     }
+    if let Some(withholds) = optional(case, "withhold")? {
+        engine.control(EngineControl::WithholdAnswers { withholds })?;
+    }
     if optional(case, "crash")?.unwrap_or(false) {
         engine.control(EngineControl::Crash)?;
     }
--- a/crates/standins/src/engine/chat.rs
+++ b/crates/standins/src/engine/chat.rs
@@ -151,6 +151,9 @@
             () = wait_for_failure(failures) => return drop_connection(),
         }
         self.guard.finished = true;
+        if lock(&self.guard.role.options).withholds_answers {
+            return HttpResponse::ServiceUnavailable().json(json!({ "error": "answer withheld" }));
+        }
         HttpResponse::Ok()
             .insert_header(("x-engine-digest", self.weights.digest.clone()))
             .json(json!({
--- a/crates/standins/src/engine/mod.rs
+++ b/crates/standins/src/engine/mod.rs
@@ -53,6 +53,8 @@
     pub restart_delay: Duration,
     /// Text in a request body that crashes the engine.
     pub crash_marker: String,
+    /// Whether the engine runs requests and then answers them with status 503.
+    pub withholds_answers: bool,
 }
 
 impl Default for EngineOptions {
@@ -69,6 +71,7 @@
             state_lag: Duration::ZERO,
             restart_delay: Duration::from_millis(200),
             crash_marker: "crash-the-engine".to_owned(),
+            withholds_answers: false,
         }
     }
 }
@@ -106,6 +109,11 @@
         /// Whether orders with an old fence number are refused.
         checks: bool,
     },
+    /// Sets whether the engine runs requests and then answers them with status 503.
+    WithholdAnswers {
+        /// Whether it does.
+        withholds: bool,
+    },
 }
 
 /// Role of the model engine.
@@ -161,6 +169,7 @@
                 options.warm_limit = warm_limit;
             }
             EngineControl::Fences { checks } => options.checks_fences = checks,
+            EngineControl::WithholdAnswers { withholds } => options.withholds_answers = withholds,
         }
         Ok(())
     }
