--- a/crates/agatepin/src/loader/daemon.rs
+++ b/crates/agatepin/src/loader/daemon.rs
@@ -17,7 +17,7 @@
 use crate::loader::monitor::{EngineMonitor, LoadReporter};
 use crate::loader::pieces::PieceFetcher;
 use crate::loader::stage::StageWriter;
-use crate::loader::swap::{SwapFlag, UnprovedVersion, WeightSwapper};
+use crate::loader::swap::{SwapFlag, UnverifiedVersion, WeightSwapper};
 use crate::loader::uploads::PieceServer;
 use crate::loader::view::{self, FleetView, SharedView};
 use crate::relay::datagram::{self, DatagramBody};
@@ -89,7 +89,7 @@
     let cache = PieceCache::default();
     let monitor = EngineMonitor::default();
     let swapping = SwapFlag::default();
-    let unproved = UnprovedVersion::default();
+    let unverified = UnverifiedVersion::default();
     let bind = || format!("cannot bind {}", options.overlay);
     let listener = TcpListener::bind(options.overlay)
         .await
@@ -128,7 +128,7 @@
         cache: cache.clone(),
         view: view.clone(),
         swapping: swapping.clone(),
-        unproved: unproved.clone(),
+        unverified: unverified.clone(),
         socket,
     };
     actix_rt::spawn(reporter.run());
@@ -156,7 +156,7 @@
         monitor,
         service: options.service,
         swapping,
-        unproved,
+        unverified,
         doubtful: Cell::default(),
         waiting: Cell::default(),
     };
--- a/crates/agatepin/src/loader/monitor.rs
+++ b/crates/agatepin/src/loader/monitor.rs
@@ -14,7 +14,7 @@
 use tokio::time::sleep;
 
 use crate::loader::cache::PieceCache;
-use crate::loader::swap::{SwapFlag, UnprovedVersion};
+use crate::loader::swap::{SwapFlag, UnverifiedVersion};
 use crate::loader::view::SharedView;
 use crate::relay::datagram::{Datagram, DatagramBody, EngineLoad, NewestWeights};
 use crate::relay::ports::{EnginePort, EngineState};
@@ -90,7 +90,7 @@
     /// Whether a swap of weights is in progress; the engine is then reported as busy.
     pub swapping: SwapFlag,
     /// Version that the engine may have loaded from corrupt pieces; it is then reported as busy.
-    pub unproved: UnprovedVersion,
+    pub unverified: UnverifiedVersion,
     /// Socket that reports are sent from.
     pub socket: Rc<UdpSocket>,
 }
@@ -141,14 +141,14 @@
         let report = state.map(|state| state.report);
         let memory = report.as_ref().and_then(|r| r.memory);
         let weights = report.as_ref().and_then(|r| r.weights);
-        let unproved = self.unproved.get();
-        let is_unproved = unproved.is_some_and(|version| weights >= Some(version));
+        let unverified = self.unverified.get();
+        let is_unverified = unverified.is_some_and(|version| weights >= Some(version));
         EngineLoad {
             engine: self.address.to_string(),
             region: self.region.clone(),
             up: report.is_some(),
             weights: weights.unwrap_or_default(),
-            busy: self.swapping.get() || is_unproved || report.as_ref().is_some_and(|r| r.busy),
+            busy: self.swapping.get() || is_unverified || report.as_ref().is_some_and(|r| r.busy),
             active: report.as_ref().map_or(0, |r| r.active),
             queued: report.as_ref().map_or(0, |r| r.queued),
             holds: self.cache.newest_complete_version().unwrap_or_default(),
--- a/crates/agatepin/src/loader/swap.rs
+++ b/crates/agatepin/src/loader/swap.rs
@@ -39,19 +39,19 @@
 
 /// Version of an outstanding load order whose pieces are not known to be valid; none if there is no such
 /// order. If the engine holds that version, it is reported as busy.
-pub type UnprovedVersion = Rc<Cell<Option<WeightsVersion>>>;
+pub type UnverifiedVersion = Rc<Cell<Option<WeightsVersion>>>;
 
-/// Records a version as unproved until it is dropped.
-struct UnprovedGuard<'swap>(&'swap UnprovedVersion);
+/// Records a version as unverified until it is dropped.
+struct UnverifiedGuard<'swap>(&'swap UnverifiedVersion);
 
-impl<'swap> UnprovedGuard<'swap> {
-    fn new(unproved: &'swap UnprovedVersion, version: WeightsVersion) -> Self {
-        unproved.set(Some(version));
-        Self(unproved)
+impl<'swap> UnverifiedGuard<'swap> {
+    fn new(unverified: &'swap UnverifiedVersion, version: WeightsVersion) -> Self {
+        unverified.set(Some(version));
+        Self(unverified)
     }
 }
 
-impl Drop for UnprovedGuard<'_> {
+impl Drop for UnverifiedGuard<'_> {
     fn drop(&mut self) {
         self.0.set(None);
     }
@@ -69,7 +69,7 @@
     /// engine holds doubtful weights.
     pub swapping: SwapFlag,
     /// Version that the engine has been ordered to load and may load unnoticed.
-    pub unproved: UnprovedVersion,
+    pub unverified: UnverifiedVersion,
     /// Version whose pieces may have been corrupt when an engine loaded them, and the start of that
     /// engine.
     pub doubtful: Cell<Option<(WeightsVersion, u64)>>,
@@ -215,7 +215,7 @@
             }
             check = self.check(plan, &pieces, &guard).await?;
         }
-        let _unproved = UnprovedGuard::new(&self.unproved, plan.version);
+        let _unverified = UnverifiedGuard::new(&self.unverified, plan.version);
         let order = self.order(plan, &pieces, &guard, check).await?;
         self.swapping.set(true);
         let evidence = self.evidence(plan, &pieces, &guard, &order).await;
