--- a/crates/agatepin/src/loader/cache.rs
+++ b/crates/agatepin/src/loader/cache.rs
@@ -103,7 +103,8 @@
 }
 
 impl PieceCache {
-    /// Keeps `version` cached for as long as the pin is held. Pinned versions take the place of others.
+    /// Keeps `version` cached for as long as the pin is held. It counts towards [`MAX_CACHED_VERSIONS`], so
+    /// that unpinned versions are evicted sooner.
     #[must_use]
     pub fn pin(&self, version: WeightsVersion) -> VersionPin {
         self.pinned.borrow_mut().push(version);
--- a/crates/agatepin/src/relay/call.rs
+++ b/crates/agatepin/src/relay/call.rs
@@ -261,8 +261,8 @@
         // Upstreams of all attempts, and the number of attempts without a connection.
         let mut tried = Vec::new();
         let mut unreachable = 0;
-        // Reason to state once the request may have run somewhere: no answer may promise then that it has
-        // not.
+        // Why the request may have run at an upstream; none while it has run nowhere. Once set, no answer
+        // may promise that the request has not run.
         let mut unknown = None;
         // Slot for the next attempt, if the last upstream was replaced.
         let mut replacement = None;
